--- /dev/null
+++ b/control/calls.cc
@@ -0,0 +1,198 @@
+// The phases of a call that must not be repeated.
+
+#include "control/calls.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace bamboogap {
+
+namespace {
+
+StartDecision decisionFor(CallPhase phase)
+{
+    switch (phase) {
+    case CallPhase::Started:
+        return StartDecision::InProgress;
+    case CallPhase::Answered:
+        return StartDecision::Answered;
+    case CallPhase::AnsweredNotKept:
+        return StartDecision::AnsweredNotKept;
+    case CallPhase::NotRun:
+        return StartDecision::Go;
+    case CallPhase::Unknown:
+        return StartDecision::Unknown;
+    }
+    return StartDecision::Unknown;
+}
+
+} // namespace
+
+CallRecords::CallRecords(CallLimits limits)
+    : limits_(limits)
+{
+}
+
+StartAnswer CallRecords::start(const CallName &name, uint64_t contentHash, std::string_view attempt,
+                               const AttemptOwner &owner, int64_t nowMillis)
+{
+    const auto found = records_.find(name);
+    if (found == records_.end()) {
+        if (records_.size() >= limits_.maxRecords)
+            return { StartDecision::Full, {} };
+        Record &record = records_[name];
+        record.contentHash = contentHash;
+        record.attempt = attempt;
+        record.owner = owner;
+        record.sinceMillis = nowMillis;
+        due_.insert({ dueMillis(record), name });
+        return { StartDecision::Go, {} };
+    }
+    Record &record = found->second;
+    if (record.contentHash != contentHash)
+        return { StartDecision::KeyReused, {} };
+    const bool sameAttempt = record.attempt == attempt;
+    if (record.phase == CallPhase::Started && sameAttempt)
+        return { StartDecision::Go, {} };
+    if (record.phase == CallPhase::NotRun) {
+        if (sameAttempt)
+            return { StartDecision::Superseded, {} };
+        enter(name, record, CallPhase::Started, nowMillis);
+        record.attempt = attempt;
+        record.owner = owner;
+        return { StartDecision::Go, {} };
+    }
+    return { decisionFor(record.phase), record.reply };
+}
+
+bool CallRecords::answer(const CallName &name, std::string_view attempt, KeptReply reply,
+                         int64_t nowMillis)
+{
+    Record *record = heldBy(name, attempt);
+    if (!record)
+        return false;
+    const bool keep = reply.body.size() <= limits_.maxReplyBytes
+            && keptBytes_ + reply.body.size() <= limits_.maxKeptBytes;
+    enter(name, *record, keep ? CallPhase::Answered : CallPhase::AnsweredNotKept, nowMillis);
+    if (keep) {
+        keptBytes_ += reply.body.size();
+        record->reply = std::move(reply);
+    }
+    return true;
+}
+
+bool CallRecords::notRun(const CallName &name, std::string_view attempt, int64_t nowMillis)
+{
+    Record *record = heldBy(name, attempt);
+    if (!record || record->phase != CallPhase::Started)
+        return false;
+    enter(name, *record, CallPhase::NotRun, nowMillis);
+    return true;
+}
+
+bool CallRecords::unknown(const CallName &name, std::string_view attempt, int64_t nowMillis)
+{
+    Record *record = heldBy(name, attempt);
+    if (!record || record->phase != CallPhase::Started)
+        return false;
+    enter(name, *record, CallPhase::Unknown, nowMillis);
+    return true;
+}
+
+size_t CallRecords::abandon(std::string_view router, uint64_t incarnation, int64_t nowMillis)
+{
+    size_t ended = 0;
+    for (auto &[name, record] : records_) {
+        if (record.phase != CallPhase::Started || record.owner.router != router
+            || record.owner.incarnation >= incarnation)
+            continue;
+        enter(name, record, CallPhase::Unknown, nowMillis);
+        ++ended;
+    }
+    return ended;
+}
+
+void CallRecords::expire(int64_t nowMillis)
+{
+    while (hasExpired(nowMillis)) {
+        const CallName name = due_.begin()->second;
+        Record &record = records_.at(name);
+        if (record.phase == CallPhase::Started) {
+            enter(name, record, CallPhase::Unknown, nowMillis);
+            continue;
+        }
+        keptBytes_ -= record.reply.body.size();
+        due_.erase(due_.begin());
+        records_.erase(name);
+    }
+}
+
+bool CallRecords::hasExpired(int64_t nowMillis) const
+{
+    return !due_.empty() && due_.begin()->first <= nowMillis;
+}
+
+size_t CallRecords::countOf(CallPhase phase) const
+{
+    return std::count_if(records_.begin(), records_.end(),
+                         [phase](const auto &item) { return item.second.phase == phase; });
+}
+
+// The record if the attempt holds it and its outcome is still open.
+CallRecords::Record *CallRecords::heldBy(const CallName &name, std::string_view attempt)
+{
+    const auto found = records_.find(name);
+    if (found == records_.end() || found->second.attempt != attempt)
+        return nullptr;
+    const CallPhase phase = found->second.phase;
+    return phase == CallPhase::Started || phase == CallPhase::Unknown ? &found->second : nullptr;
+}
+
+void CallRecords::enter(const CallName &name, Record &record, CallPhase phase, int64_t nowMillis)
+{
+    due_.erase({ dueMillis(record), name });
+    record.phase = phase;
+    record.sinceMillis = nowMillis;
+    due_.insert({ dueMillis(record), name });
+}
+
+int64_t CallRecords::dueMillis(const Record &record) const
+{
+    const bool running = record.phase == CallPhase::Started;
+    return record.sinceMillis + (running ? limits_.maxRunMillis : limits_.retentionMillis);
+}
+
+nlohmann::json CallRecords::save() const
+{
+    auto saved = nlohmann::json::array();
+    for (const auto &[name, record] : records_) {
+        std::vector<uint8_t> body(record.reply.body.begin(), record.reply.body.end());
+        saved.push_back({ name.workspace, name.key, record.contentHash, record.attempt,
+                          record.owner.router, record.owner.incarnation,
+                          static_cast<int>(record.phase), record.sinceMillis, record.reply.status,
+                          record.reply.contentType, nlohmann::json::binary(std::move(body)) });
+    }
+    return saved;
+}
+
+Result<CallRecords> CallRecords::load(const nlohmann::json &saved, CallLimits limits)
+{
+    CallRecords loaded(limits);
+    for (const auto &item : saved) {
+        const CallName name { item.at(0).get<std::string>(), item.at(1).get<std::string>() };
+        Record &record = loaded.records_[name];
+        record.contentHash = item.at(2).get<uint64_t>();
+        record.attempt = item.at(3).get<std::string>();
+        record.owner = { item.at(4).get<std::string>(), item.at(5).get<uint64_t>() };
+        record.phase = static_cast<CallPhase>(item.at(6).get<int>());
+        record.sinceMillis = item.at(7).get<int64_t>();
+        const auto &body = item.at(10).get_binary();
+        record.reply = { item.at(8).get<int>(), item.at(9).get<std::string>(),
+                         std::string(body.begin(), body.end()) };
+        loaded.keptBytes_ += body.size();
+        loaded.due_.insert({ loaded.dueMillis(record), name });
+    }
+    return loaded;
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/control/membership.cc
@@ -0,0 +1,97 @@
+// One step at a time towards the membership that the replicas ask for.
+
+#include "control/membership.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace bamboogap {
+
+namespace {
+
+// A member this close to the commit index counts as caught up; the rest
+// reaches it with the next message.
+constexpr LogIndex kCaughtUpWithin = 16;
+
+std::optional<Membership> withNewLearner(const Membership &current,
+                                         const std::map<ReplicaId, Joining> &joining)
+{
+    for (const auto &[id, replica] : joining) {
+        if (current.find(id))
+            continue;
+        Membership next = current;
+        next.members.push_back({ id, replica.name, replica.address, false });
+        return next;
+    }
+    return std::nullopt;
+}
+
+std::optional<Membership> withNewAddress(const Membership &current,
+                                         const std::map<ReplicaId, Joining> &joining)
+{
+    Membership next = current;
+    for (Replica &member : next.members) {
+        const auto found = joining.find(member.id);
+        if (found == joining.end() || found->second.address == member.address)
+            continue;
+        member.address = found->second.address;
+        return next;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<Membership> nextMembership(const Membership &current,
+                                         const std::map<ReplicaId, Joining> &joining,
+                                         const std::function<LogIndex(ReplicaId)> &matchIndex,
+                                         LogIndex commitIndex)
+{
+    if (auto next = withNewLearner(current, joining))
+        return next;
+    if (auto next = withNewAddress(current, joining))
+        return next;
+    for (const Replica &member : current.members) {
+        if (member.voter || joining.count(member.id) == 0
+            || matchIndex(member.id) + kCaughtUpWithin < commitIndex)
+            continue;
+        Membership next = current;
+        const auto older
+                = std::find_if(next.members.begin(), next.members.end(), [&](const Replica &other) {
+                      return other.name == member.name && other.id != member.id;
+                  });
+        if (older != next.members.end()) {
+            next.members.erase(older);
+            return next;
+        }
+        const auto self = std::find_if(next.members.begin(), next.members.end(),
+                                       [&](const Replica &other) { return other.id == member.id; });
+        self->voter = true;
+        return next;
+    }
+    return std::nullopt;
+}
+
+Result<Membership> membershipWithout(const Membership &current, std::string_view name,
+                                     ReplicaId leader)
+{
+    const Replica *member = current.findByName(name);
+    if (!member) {
+        return failure(ErrorKind::NotFound, fmt::format("there is no replica '{}'", name),
+                       "take a name from the status");
+    }
+    if (member->id == leader) {
+        return failure(ErrorKind::Conflict, fmt::format("replica '{}' leads the group", name),
+                       "stop its node first, so that another one leads");
+    }
+    if (member->voter && current.voterCount() == 1) {
+        return failure(ErrorKind::Conflict, "the last voter cannot be removed",
+                       "add another replica first");
+    }
+    Membership next = current;
+    std::erase_if(next.members, [&](const Replica &other) { return other.id == member->id; });
+    return next;
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/control/membership.h
@@ -0,0 +1,44 @@
+// How the control group takes in, replaces and drops replicas.
+//
+// A replica is known by the id on its disk. One that lost its disk comes back
+// under its router's name with another id, and is replaced in three changes of
+// one member each: the new id is added without a vote and caught up, the old id
+// is removed, the new id gets its vote. At no point does a replica vote that
+// has not caught up, so a second loss right after a repair loses nothing.
+
+#ifndef BAMBOOGAP_CONTROL_MEMBERSHIP_H
+#define BAMBOOGAP_CONTROL_MEMBERSHIP_H
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "control/raft.h"
+
+namespace bamboogap {
+
+// A replica that asks to belong to the group.
+struct Joining
+{
+    ReplicaId id = kNoReplica;
+    std::string name;
+    std::string address;
+};
+
+// The next membership to propose so that the joining replicas become voters;
+// nothing if there is nothing to do now. matchIndex tells how far a member's
+// log reaches.
+std::optional<Membership> nextMembership(const Membership &current,
+                                         const std::map<ReplicaId, Joining> &joining,
+                                         const std::function<LogIndex(ReplicaId)> &matchIndex,
+                                         LogIndex commitIndex);
+
+// The membership without the named replica. NotFound if there is none;
+// Conflict if it is the last voter or leads the group.
+Result<Membership> membershipWithout(const Membership &current, std::string_view name,
+                                     ReplicaId leader);
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/control/raft.cc
@@ -0,0 +1,628 @@
+// The replicated log: elections, replication, commit and membership.
+//
+// Safety rests on four rules, each of them local to one function:
+//  - a vote is stored before it is sent (handleVoteRequest and the driver);
+//  - an entry is counted as held by a follower only from its reply, which it
+//    sends after its sync (handleAppendReply);
+//  - a leader commits by counting only entries of its own term (advanceCommit);
+//  - a voter's silence towards candidates outlasts the leader's lease
+//    (handleVoteRequest, maySpeak).
+
+#include "control/raft.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace bamboogap {
+
+namespace {
+
+constexpr size_t kMaxAppendBytes = 1 << 20;
+constexpr size_t kMaxRoundsKept = 64;
+constexpr Duration kSnapshotResendAfter = std::chrono::seconds(2);
+
+} // namespace
+
+const Replica *Membership::find(ReplicaId id) const
+{
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [id](const Replica &member) { return member.id == id; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+const Replica *Membership::findByName(std::string_view name) const
+{
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [name](const Replica &member) { return member.name == name; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+size_t Membership::voterCount() const
+{
+    return std::count_if(members.begin(), members.end(),
+                         [](const Replica &member) { return member.voter; });
+}
+
+std::string encodeMembership(const Membership &membership)
+{
+    auto list = nlohmann::json::array();
+    for (const Replica &member : membership.members) {
+        list.push_back({ { "id", member.id },
+                         { "name", member.name },
+                         { "address", member.address },
+                         { "voter", member.voter } });
+    }
+    return list.dump();
+}
+
+Result<Membership> parseMembership(std::string_view bytes)
+{
+    const auto list = nlohmann::json::parse(bytes, nullptr, false);
+    const auto damaged = [] {
+        return failure(ErrorKind::StorageDamaged, "a membership record cannot be read",
+                       "remove this replica's data folder and let it join again");
+    };
+    if (!list.is_array())
+        return damaged();
+    Membership membership;
+    for (const auto &item : list) {
+        if (!item.is_object() || !item.contains("id") || !item["id"].is_number_unsigned())
+            return damaged();
+        membership.members.push_back({ item["id"].get<ReplicaId>(), item.value("name", ""),
+                                       item.value("address", ""), item.value("voter", false) });
+    }
+    return membership;
+}
+
+Raft::Raft(ReplicaId id, RaftTiming timing, StoredLog stored, uint64_t seed, Instant now)
+    : id_(id)
+    , timing_(timing)
+    , random_(seed)
+    , hardState_(stored.hardState)
+    , snapshotIndex_(stored.snapshot.index)
+    , snapshotTerm_(stored.snapshot.term)
+    , entries_(std::move(stored.entries))
+    , snapshot_(std::move(stored.snapshot))
+    , commit_(snapshotIndex_)
+    , heardLeader_(now)
+{
+    memberships_[snapshotIndex_] = snapshot_.membership;
+    for (const LogEntry &entry : entries_) {
+        if (entry.kind == EntryKind::Membership) {
+            if (auto membership = parseMembership(entry.data))
+                memberships_[entry.index] = *membership;
+        }
+    }
+    resetElectionTimer(now);
+}
+
+Result<void> Raft::bootstrap(Replica self, Instant now)
+{
+    if (lastIndex() != 0 || hardState_.term != 0) {
+        return failure(ErrorKind::Conflict, "this replica already belongs to a control group",
+                       "bootstrap only once, on one replica with an empty data folder");
+    }
+    self.id = id_;
+    self.voter = true;
+    Membership membership;
+    membership.members.push_back(std::move(self));
+    setHardState(1, id_);
+    storeEntry({ 1, 1, EntryKind::Membership, encodeMembership(membership) });
+    becomeLeader(now);
+    return {};
+}
+
+void Raft::tick(Instant now)
+{
+    if (role_ == RaftRole::Leader) {
+        if (now - quorumContact(now) > timing_.electionMax) {
+            becomeFollower(hardState_.term, kNoReplica, now);
+            return;
+        }
+        if (transferring_ && now - transferStarted_ > timing_.electionMax)
+            transferring_ = false;
+        if (now >= heartbeatDue_)
+            broadcastAppend(now);
+        return;
+    }
+    if (now >= electionDue_ && isVoter())
+        campaign(true, false, now);
+}
+
+void Raft::receive(const RaftMessage &message, Instant now)
+{
+    if (message.to != id_)
+        return;
+    const bool asksForVote
+            = message.kind == RaftMessageKind::PreVote || message.kind == RaftMessageKind::Vote;
+    if (asksForVote) {
+        handleVoteRequest(message, now);
+        return;
+    }
+    const bool preVoteReply = message.kind == RaftMessageKind::PreVoteReply;
+    if (message.term > hardState_.term && !(preVoteReply && !message.reject))
+        becomeFollower(message.term, kNoReplica, now);
+    if (message.term < hardState_.term) {
+        // A leader of an older term learns of the newer one from the reply.
+        if (message.kind == RaftMessageKind::Append
+            || message.kind == RaftMessageKind::InstallSnapshot) {
+            RaftMessage reply;
+            reply.kind = RaftMessageKind::AppendReply;
+            reply.to = message.from;
+            reply.reject = true;
+            reply.index = lastIndex();
+            send(reply);
+        }
+        return;
+    }
+    switch (message.kind) {
+    case RaftMessageKind::PreVoteReply:
+    case RaftMessageKind::VoteReply:
+        handleVoteReply(message, now);
+        break;
+    case RaftMessageKind::Append:
+        handleAppend(message, now);
+        break;
+    case RaftMessageKind::AppendReply:
+        handleAppendReply(message, now);
+        break;
+    case RaftMessageKind::InstallSnapshot:
+        handleSnapshot(message, now);
+        break;
+    case RaftMessageKind::TimeoutNow:
+        if (isVoter() && role_ != RaftRole::Leader)
+            campaign(false, true, now);
+        break;
+    case RaftMessageKind::PreVote:
+    case RaftMessageKind::Vote:
+        break;
+    }
+}
+
+Result<LogIndex> Raft::propose(std::string data, Instant now)
+{
+    if (role_ != RaftRole::Leader || transferring_) {
+        return failure(ErrorKind::NoLeader, "this replica does not lead the control group",
+                       "send the change to the leader, or again in a second");
+    }
+    appendEntry(EntryKind::Command, std::move(data));
+    const LogIndex index = lastIndex();
+    broadcastAppend(now);
+    advanceCommit();
+    return index;
+}
+
+Result<LogIndex> Raft::proposeMembership(const Membership &membership, Instant now)
+{
+    if (role_ != RaftRole::Leader || transferring_) {
+        return failure(ErrorKind::NoLeader, "this replica does not lead the control group",
+                       "send the change to the leader, or again in a second");
+    }
+    if (memberships_.rbegin()->first > commit_ || commit_ < termStart_) {
+        return failure(ErrorKind::Conflict, "another membership change is under way",
+                       "send the change again in a second");
+    }
+    appendEntry(EntryKind::Membership, encodeMembership(membership));
+    const LogIndex index = lastIndex();
+    broadcastAppend(now);
+    advanceCommit();
+    return index;
+}
+
+void Raft::transferLeadership(Instant now)
+{
+    if (role_ != RaftRole::Leader || transferring_)
+        return;
+    const Replica *target = nullptr;
+    LogIndex best = 0;
+    for (const Replica &member : membership().members) {
+        if (!member.voter || member.id == id_)
+            continue;
+        if (progress_[member.id].match >= best) {
+            best = progress_[member.id].match;
+            target = &member;
+        }
+    }
+    if (!target)
+        return;
+    transferring_ = true;
+    transferStarted_ = now;
+    RaftMessage message;
+    message.kind = RaftMessageKind::TimeoutNow;
+    message.to = target->id;
+    send(message);
+}
+
+Snapshot Raft::compact(LogIndex index, std::string snapshotData)
+{
+    snapshot_.term = termAt(index);
+    snapshot_.index = index;
+    snapshot_.membership = std::prev(memberships_.upper_bound(index))->second;
+    snapshot_.data = std::move(snapshotData);
+    entries_.erase(entries_.begin(), entries_.begin() + (index - snapshotIndex_));
+    snapshotIndex_ = index;
+    snapshotTerm_ = snapshot_.term;
+    const Membership kept = snapshot_.membership;
+    memberships_.erase(memberships_.begin(), memberships_.upper_bound(index));
+    memberships_[index] = kept;
+    return snapshot_;
+}
+
+RaftOutput Raft::takeOutput()
+{
+    RaftOutput output;
+    std::swap(output, output_);
+    return output;
+}
+
+bool Raft::maySpeak(Instant now) const
+{
+    return role_ == RaftRole::Leader && !transferring_ && commit_ >= termStart_
+            && now < quorumContact(now) + leaseLength();
+}
+
+LogIndex Raft::matchIndex(ReplicaId member) const
+{
+    const auto found = progress_.find(member);
+    return found == progress_.end() ? 0 : found->second.match;
+}
+
+Term Raft::termAt(LogIndex index) const
+{
+    if (index == snapshotIndex_)
+        return snapshotTerm_;
+    if (index < snapshotIndex_ || index > lastIndex())
+        return 0;
+    return entryAt(index).term;
+}
+
+const LogEntry &Raft::entryAt(LogIndex index) const
+{
+    return entries_[index - snapshotIndex_ - 1];
+}
+
+bool Raft::isVoter() const
+{
+    const Replica *self = membership().find(id_);
+    return self && self->voter;
+}
+
+bool Raft::hasQuorum(const std::set<ReplicaId> &votes) const
+{
+    size_t count = 0;
+    for (const Replica &member : membership().members)
+        count += member.voter && votes.count(member.id);
+    return count >= membership().quorum();
+}
+
+Instant Raft::quorumContact(Instant now) const
+{
+    std::vector<Instant> sent;
+    for (const Replica &member : membership().members) {
+        if (!member.voter)
+            continue;
+        const auto found = progress_.find(member.id);
+        if (member.id == id_)
+            sent.push_back(now);
+        else
+            sent.push_back(found == progress_.end() ? Instant {} : found->second.ackedSent);
+    }
+    if (sent.size() < membership().quorum())
+        return {};
+    std::sort(sent.begin(), sent.end(), std::greater<>());
+    return sent.empty() ? Instant {} : sent[membership().quorum() - 1];
+}
+
+Duration Raft::leaseLength() const
+{
+    return std::chrono::duration_cast<Duration>(timing_.electionMin * (1.0 - timing_.maxDrift));
+}
+
+bool Raft::logIsCurrent(LogIndex index, Term term) const
+{
+    const Term lastTerm = termAt(lastIndex());
+    return term > lastTerm || (term == lastTerm && index >= lastIndex());
+}
+
+void Raft::becomeFollower(Term term, ReplicaId leader, Instant now)
+{
+    if (term > hardState_.term)
+        setHardState(term, kNoReplica);
+    role_ = RaftRole::Follower;
+    leader_ = leader;
+    preVoting_ = false;
+    transferring_ = false;
+    progress_.clear();
+    resetElectionTimer(now);
+}
+
+// A pre-vote asks whether an election could be won, without changing a term.
+void Raft::campaign(bool preVote, bool transfer, Instant now)
+{
+    resetElectionTimer(now);
+    role_ = RaftRole::Candidate;
+    leader_ = kNoReplica;
+    preVoting_ = preVote;
+    votes_ = { id_ };
+    if (!preVote)
+        setHardState(hardState_.term + 1, id_);
+    if (hasQuorum(votes_)) {
+        if (preVote)
+            campaign(false, false, now);
+        else
+            becomeLeader(now);
+        return;
+    }
+    for (const Replica &member : membership().members) {
+        if (!member.voter || member.id == id_)
+            continue;
+        RaftMessage request;
+        request.kind = preVote ? RaftMessageKind::PreVote : RaftMessageKind::Vote;
+        request.to = member.id;
+        request.index = lastIndex();
+        request.logTerm = termAt(lastIndex());
+        request.transfer = transfer;
+        send(request);
+        output_.messages.back().term = hardState_.term + (preVote ? 1 : 0);
+    }
+}
+
+void Raft::becomeLeader(Instant now)
+{
+    role_ = RaftRole::Leader;
+    leader_ = id_;
+    preVoting_ = false;
+    transferring_ = false;
+    progress_.clear();
+    roundSent_.clear();
+    for (const Replica &member : membership().members) {
+        progress_[member.id].next = lastIndex() + 1;
+        // The votes just counted are the first contact, for check quorum only;
+        // the lease starts with the first acknowledged round (see maySpeak:
+        // the term's first entry must be committed by such a round).
+        progress_[member.id].ackedSent = now;
+    }
+    appendEntry(EntryKind::Noop, {});
+    termStart_ = lastIndex();
+    broadcastAppend(now);
+    advanceCommit();
+}
+
+void Raft::resetElectionTimer(Instant now)
+{
+    std::uniform_int_distribution<Duration::rep> spread(timing_.electionMin.count(),
+                                                        timing_.electionMax.count());
+    electionDue_ = now + Duration(spread(random_));
+}
+
+void Raft::setHardState(Term term, ReplicaId vote)
+{
+    hardState_ = { term, vote };
+    output_.hardState = hardState_;
+}
+
+void Raft::appendEntry(EntryKind kind, std::string data)
+{
+    storeEntry({ lastIndex() + 1, hardState_.term, kind, std::move(data) });
+}
+
+void Raft::storeEntry(LogEntry entry)
+{
+    if (entry.kind == EntryKind::Membership) {
+        if (auto membership = parseMembership(entry.data))
+            memberships_[entry.index] = *membership;
+    }
+    output_.entries.push_back(entry);
+    entries_.push_back(std::move(entry));
+}
+
+void Raft::truncateFrom(LogIndex index)
+{
+    entries_.resize(index - snapshotIndex_ - 1);
+    memberships_.erase(memberships_.lower_bound(index), memberships_.end());
+    std::erase_if(output_.entries, [index](const LogEntry &entry) { return entry.index >= index; });
+}
+
+void Raft::broadcastAppend(Instant now)
+{
+    heartbeatDue_ = now + timing_.heartbeat;
+    ++round_;
+    roundSent_[round_] = now;
+    while (roundSent_.size() > kMaxRoundsKept)
+        roundSent_.erase(roundSent_.begin());
+    for (const Replica &member : membership().members) {
+        if (member.id != id_)
+            sendAppend(member.id, now);
+    }
+}
+
+void Raft::sendAppend(ReplicaId to, Instant now)
+{
+    Progress &progress = progress_[to];
+    RaftMessage message;
+    message.to = to;
+    message.round = round_;
+    message.commit = commit_;
+    if (progress.next <= snapshotIndex_) {
+        if (now - progress.snapshotSent < kSnapshotResendAfter)
+            return;
+        progress.snapshotSent = now;
+        message.kind = RaftMessageKind::InstallSnapshot;
+        message.snapshot = snapshot_;
+        send(message);
+        return;
+    }
+    message.kind = RaftMessageKind::Append;
+    message.index = progress.next - 1;
+    message.logTerm = termAt(message.index);
+    size_t bytes = 0;
+    while (progress.next <= lastIndex() && bytes < kMaxAppendBytes) {
+        message.entries.push_back(entryAt(progress.next));
+        bytes += message.entries.back().data.size();
+        ++progress.next;
+    }
+    send(message);
+}
+
+void Raft::advanceCommit()
+{
+    std::vector<LogIndex> held;
+    for (const Replica &member : membership().members) {
+        if (member.voter)
+            held.push_back(member.id == id_ ? lastIndex() : progress_[member.id].match);
+    }
+    if (held.empty())
+        return;
+    std::sort(held.begin(), held.end(), std::greater<>());
+    const LogIndex candidate = held[membership().quorum() - 1];
+    if (candidate > commit_ && termAt(candidate) == hardState_.term)
+        commitTo(candidate);
+}
+
+void Raft::commitTo(LogIndex index)
+{
+    while (commit_ < index)
+        output_.committed.push_back(entryAt(++commit_));
+}
+
+void Raft::send(RaftMessage message)
+{
+    message.from = id_;
+    message.term = hardState_.term;
+    output_.messages.push_back(std::move(message));
+}
+
+void Raft::handleVoteRequest(const RaftMessage &message, Instant now)
+{
+    const bool preVote = message.kind == RaftMessageKind::PreVote;
+    const bool leaderIsAlive = role_ == RaftRole::Leader
+            ? now - quorumContact(now) < timing_.electionMin
+            : now - heardLeader_ < timing_.electionMin;
+    if (leaderIsAlive && !message.transfer)
+        return;
+    if (!preVote && message.term > hardState_.term)
+        becomeFollower(message.term, kNoReplica, now);
+    RaftMessage reply;
+    reply.kind = preVote ? RaftMessageKind::PreVoteReply : RaftMessageKind::VoteReply;
+    reply.to = message.from;
+    const bool mayVote = preVote ? message.term > hardState_.term
+                                 : message.term == hardState_.term
+                    && (hardState_.vote == kNoReplica || hardState_.vote == message.from);
+    reply.reject = !mayVote || !logIsCurrent(message.index, message.logTerm);
+    if (!preVote && !reply.reject) {
+        setHardState(hardState_.term, message.from);
+        resetElectionTimer(now);
+    }
+    send(reply);
+    // A granted pre-vote carries the term it was asked for.
+    if (preVote && !reply.reject)
+        output_.messages.back().term = message.term;
+}
+
+void Raft::handleVoteReply(const RaftMessage &message, Instant now)
+{
+    const bool preVote = message.kind == RaftMessageKind::PreVoteReply;
+    if (role_ != RaftRole::Candidate || preVote != preVoting_ || message.reject)
+        return;
+    if (preVote && message.term != hardState_.term + 1)
+        return;
+    votes_.insert(message.from);
+    if (!hasQuorum(votes_))
+        return;
+    if (preVote)
+        campaign(false, false, now);
+    else
+        becomeLeader(now);
+}
+
+void Raft::handleAppend(const RaftMessage &message, Instant now)
+{
+    if (role_ == RaftRole::Leader)
+        return;
+    becomeFollower(message.term, message.from, now);
+    heardLeader_ = now;
+    RaftMessage reply;
+    reply.kind = RaftMessageKind::AppendReply;
+    reply.to = message.from;
+    reply.round = message.round;
+    const bool covered = message.index < commit_;
+    if (!covered && (message.index > lastIndex() || termAt(message.index) != message.logTerm)) {
+        reply.reject = true;
+        // The whole term that clashes is skipped at once.
+        LogIndex hint = std::min(lastIndex(), message.index);
+        const Term clashing = termAt(hint);
+        while (hint > commit_ && termAt(hint) == clashing && clashing != message.logTerm)
+            --hint;
+        reply.index = hint;
+        send(reply);
+        return;
+    }
+    LogIndex matched = message.index;
+    for (const LogEntry &entry : message.entries) {
+        matched = entry.index;
+        if (entry.index <= commit_ || termAt(entry.index) == entry.term)
+            continue;
+        if (entry.index <= lastIndex())
+            truncateFrom(entry.index);
+        storeEntry(entry);
+    }
+    commitTo(std::min(message.commit, matched));
+    reply.index = std::max(matched, commit_);
+    send(reply);
+}
+
+void Raft::handleAppendReply(const RaftMessage &message, Instant now)
+{
+    if (role_ != RaftRole::Leader)
+        return;
+    Progress &progress = progress_[message.from];
+    if (const auto sent = roundSent_.find(message.round); sent != roundSent_.end())
+        progress.ackedSent = std::max(progress.ackedSent, sent->second);
+    if (message.reject) {
+        if (message.round == 0)
+            return;
+        progress.next = std::max(progress.match, message.index) + 1;
+        sendAppend(message.from, now);
+        return;
+    }
+    progress.snapshotSent = {};
+    if (message.index > progress.match)
+        progress.match = message.index;
+    progress.next = std::max(progress.next, progress.match + 1);
+    const LogIndex before = commit_;
+    advanceCommit();
+    if (commit_ > before)
+        broadcastAppend(now);
+    else if (progress.next <= lastIndex())
+        sendAppend(message.from, now);
+}
+
+void Raft::handleSnapshot(const RaftMessage &message, Instant now)
+{
+    if (role_ == RaftRole::Leader || !message.snapshot)
+        return;
+    becomeFollower(message.term, message.from, now);
+    heardLeader_ = now;
+    const Snapshot &snapshot = *message.snapshot;
+    RaftMessage reply;
+    reply.kind = RaftMessageKind::AppendReply;
+    reply.to = message.from;
+    reply.round = message.round;
+    if (snapshot.index > commit_) {
+        snapshot_ = snapshot;
+        snapshotIndex_ = snapshot.index;
+        snapshotTerm_ = snapshot.term;
+        commit_ = snapshot.index;
+        entries_.clear();
+        memberships_.clear();
+        memberships_[snapshotIndex_] = snapshot.membership;
+        output_.installed = snapshot;
+        output_.entries.clear();
+        output_.committed.clear();
+    }
+    reply.index = commit_;
+    send(reply);
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/fleet/coordinator.cc
@@ -0,0 +1,223 @@
+// Leases, views and the register, as the leader keeps them.
+
+#include "fleet/coordinator.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace bamboogap {
+
+Coordinator::Coordinator(CoordinatorSettings settings, uint64_t term, const View &view, Instant now)
+    : settings_(settings)
+    , term_(term)
+    , startedAt_(now)
+    , register_(settings.endpoints, term)
+{
+    for (const RouterInfo &info : view.routers) {
+        Router &router = routers_[info.name];
+        router.info = info;
+        router.heardAt = now;
+        router.leaseEnd = now + surelyEnded();
+    }
+}
+
+HeartbeatReply Coordinator::heartbeat(const Heartbeat &heartbeat, const ControlState &state,
+                                      Instant now)
+{
+    HeartbeatReply reply;
+    reply.sequence = heartbeat.sequence;
+    reply.term = term_;
+    Router *router = admit(heartbeat, now);
+    if (!router)
+        return reply;
+    router->ackedEpoch = heartbeat.knownEpoch;
+    router->ackedRevision = heartbeat.knownRevision;
+    router->leaving = heartbeat.leaving;
+    router->reportedAll = heartbeat.leaderTerm == term_;
+    router->loads.clear();
+    for (const OwnLoad &load : heartbeat.loads)
+        router->loads[load.key] = load;
+    for (const HeardEndpoint &heard : heartbeat.heard)
+        register_.hear(heard, now);
+
+    const View &view = state.view();
+    const RouterInfo *member = view.find(heartbeat.router.name);
+    if (member && *member == heartbeat.router) {
+        reply.granted = true;
+        reply.lease = settings_.lease;
+        router->leaseEnd = now + surelyEnded();
+    }
+    if (heartbeat.knownEpoch != view.epoch)
+        reply.view = view;
+    reply.activeEpoch = activeEpoch(state, now);
+    if (heartbeat.knownRevision < state.lists().revision)
+        reply.lists = state.lists();
+    reply.suspectsVersion = state.suspects().version();
+    if (heartbeat.knownSuspects != reply.suspectsVersion)
+        reply.suspects = state.suspects().all();
+    reply.registerReady = registerReady(view, now);
+    if (reply.registerReady) {
+        reply.registered = register_.deltaSince(heartbeat.registerTerm, heartbeat.registerVersion);
+        reply.loads = slotLoads(now);
+    }
+    return reply;
+}
+
+std::optional<SetViewCommand> Coordinator::tick(const ControlState &state, Instant now,
+                                                int64_t nowMillis)
+{
+    register_.tick(now);
+    std::erase_if(replaced_, [&](const Router &router) { return !mayHoldLease(router, now); });
+    std::erase_if(routers_, [&](const auto &item) {
+        return now - item.second.heardAt > settings_.lostLoad && !state.view().find(item.first);
+    });
+    SetViewCommand command;
+    command.base = state.view().epoch;
+    command.nowMillis = nowMillis;
+    for (const auto &[name, router] : routers_) {
+        const bool alive = router.everHeard && now - router.heardAt < settings_.lease;
+        const bool held = mayHoldLease(router, now);
+        // A router that is leaving stays until it has acknowledged a view
+        // without it or its lease has ended; it is left out of the proposal.
+        if (!router.leaving && (alive || held))
+            command.routers.push_back(router.info);
+    }
+    std::sort(
+            command.routers.begin(), command.routers.end(),
+            [](const RouterInfo &left, const RouterInfo &right) { return left.name < right.name; });
+    if (command.routers == state.view().routers)
+        return std::nullopt;
+    for (const RouterInfo &before : state.view().routers) {
+        const auto stays = std::find(command.routers.begin(), command.routers.end(), before);
+        const auto found = routers_.find(before.name);
+        const bool leavesOrderly = found != routers_.end() && found->second.info == before
+                && found->second.leaving && mayHoldLease(found->second, now);
+        if (stays == command.routers.end() && !leavesOrderly)
+            command.ended.push_back({ before.name, before.incarnation });
+    }
+    return command;
+}
+
+Epoch Coordinator::activeEpoch(const ControlState &state, Instant now) const
+{
+    // Routers that left before this leader took office may still hold leases.
+    if (now < startedAt_ + surelyEnded())
+        return 0;
+    Epoch active = state.view().epoch;
+    for (const auto &[name, router] : routers_) {
+        if (mayHoldLease(router, now))
+            active = std::min(active, router.ackedEpoch);
+    }
+    for (const Router &router : replaced_) {
+        if (mayHoldLease(router, now))
+            active = std::min(active, router.ackedEpoch);
+    }
+    return active;
+}
+
+Revision Coordinator::revisionInForce(const ControlState &state, Instant now) const
+{
+    if (now < startedAt_ + surelyEnded()) {
+        const bool allHeard = std::all_of(routers_.begin(), routers_.end(),
+                                          [](const auto &item) { return item.second.everHeard; });
+        if (!allHeard)
+            return 0;
+    }
+    Revision revision = state.lists().revision;
+    for (const auto &[name, router] : routers_) {
+        if (mayHoldLease(router, now))
+            revision = std::min(revision, router.ackedRevision);
+    }
+    for (const Router &router : replaced_) {
+        if (mayHoldLease(router, now))
+            revision = std::min(revision, router.ackedRevision);
+    }
+    return revision;
+}
+
+std::vector<RouterStatus> Coordinator::routers(const ControlState &state, Instant now) const
+{
+    std::vector<RouterStatus> all;
+    for (const auto &[name, router] : routers_) {
+        const RouterInfo *member = state.view().find(name);
+        all.push_back({ router.info, member && *member == router.info,
+                        mayHoldLease(router, now) && router.everHeard, router.leaving,
+                        router.ackedEpoch, router.ackedRevision, toMillis(now - router.heardAt) });
+    }
+    return all;
+}
+
+// How long after a grant the lease has ended by this clock, whatever the drift
+// between this clock and the router's. The router counts from before the grant.
+Duration Coordinator::surelyEnded() const
+{
+    return std::chrono::duration_cast<Duration>(settings_.lease * (1.0 + 2 * settings_.maxDrift));
+}
+
+bool Coordinator::mayHoldLease(const Router &router, Instant now) const
+{
+    return now < router.leaseEnd;
+}
+
+// A new leader waits until each router of the view has reported, or its lease
+// has ended, before it tells anyone which endpoints there are.
+bool Coordinator::registerReady(const View &view, Instant now) const
+{
+    if (now >= startedAt_ + surelyEnded())
+        return true;
+    return std::all_of(view.routers.begin(), view.routers.end(), [&](const RouterInfo &info) {
+        const auto found = routers_.find(info.name);
+        return found != routers_.end() && found->second.reportedAll;
+    });
+}
+
+std::vector<SlotLoad> Coordinator::slotLoads(Instant now) const
+{
+    const auto &entries = register_.entries();
+    std::vector<SlotLoad> loads(entries.empty() ? 0 : entries.rbegin()->first + 1);
+    const auto add = [&](const Router &router) {
+        if (now - router.heardAt > settings_.lease + settings_.lostLoad)
+            return;
+        for (const auto &[key, load] : router.loads) {
+            const auto slot = register_.slotOf(key);
+            if (!slot)
+                continue;
+            SlotLoad &sum = loads[*slot];
+            const uint32_t running = sum.running + uint32_t { load.running };
+            sum.running = static_cast<uint16_t>(
+                    std::min<uint32_t>(running, std::numeric_limits<uint16_t>::max()));
+            sum.rampLimit = std::max(sum.rampLimit, load.rampLimit);
+        }
+    };
+    for (const auto &[name, router] : routers_)
+        add(router);
+    for (const Router &router : replaced_)
+        add(router);
+    return loads;
+}
+
+// Finds or makes the record of the process that sent the heartbeat. Null for a
+// process that a newer one has replaced and for a heartbeat that was overtaken.
+Coordinator::Router *Coordinator::admit(const Heartbeat &heartbeat, Instant now)
+{
+    Router &router = routers_[heartbeat.router.name];
+    const bool known = !router.info.name.empty();
+    if (known && heartbeat.router.incarnation < router.info.incarnation)
+        return nullptr;
+    if (known && heartbeat.router.incarnation > router.info.incarnation) {
+        // A process at the same address cannot run beside the one before it,
+        // since both need the port; elsewhere its lease has to run out.
+        if (router.info.address != heartbeat.router.address && mayHoldLease(router, now))
+            replaced_.push_back(router);
+        router = Router {};
+    }
+    if (router.everHeard && heartbeat.sequence <= router.sequence)
+        return nullptr;
+    router.info = heartbeat.router;
+    router.sequence = heartbeat.sequence;
+    router.heardAt = now;
+    router.everHeard = true;
+    return &router;
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/fleet/member.h
@@ -0,0 +1,121 @@
+// A router's own part of membership: its lease, the view, the lists, the
+// endpoints it knows and those it may use as their owner.
+//
+// The lease counts from when the heartbeat was sent that renewed it, so it
+// ends here before the leader counts it as ended. Without a lease nothing may
+// be sent to an endpoint, and every owned endpoint has to be gained again.
+//
+// Ownership of an endpoint is held from when a view that gives it to this
+// router is active until the first view that gives it to another one is
+// learned, or the lease ends.
+
+#ifndef BAMBOOGAP_FLEET_MEMBER_H
+#define BAMBOOGAP_FLEET_MEMBER_H
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "fleet/heartbeat.h"
+
+namespace bamboogap {
+
+// An endpoint as this router knows it.
+struct KnownEndpoint
+{
+    Announcement announcement;
+    Slot slot = 0;
+    SlotLoad load; // over all routers, as old as the last heartbeat
+};
+
+// What a heartbeat's reply changed, for the tasks that depend on it.
+struct MemberNews
+{
+    bool endpoints = false;
+    bool lists = false;
+    bool view = false;
+    bool ownership = false;
+    // Answer with another heartbeat at once, so that an epoch becomes active
+    // or a change is in force without waiting for the next interval.
+    bool acknowledge = false;
+};
+
+class Member
+{
+public:
+    explicit Member(RouterInfo self);
+
+    // The heartbeat to send now; loads are filled in by the caller.
+    Heartbeat makeHeartbeat(Instant now);
+
+    // Takes the reply to a heartbeat. Replies that were overtaken are ignored.
+    MemberNews receive(HeartbeatReply reply, Instant now);
+
+    // Ends ownership when the lease has ended; call it before asking owns().
+    bool holdsLease(Instant now);
+
+    // An announcement that reached this router.
+    void hear(const Announcement &announcement, Instant now);
+    void leave() { leaving_ = true; }
+
+    // True if this router may send work to the endpoint now.
+    bool owns(std::string_view endpointId, Instant now);
+
+    // Why the endpoint must not get new work; nothing if it may.
+    tl::expected<const KnownEndpoint *, std::string> usable(std::string_view endpointId) const;
+
+    const RouterInfo *ownerOf(const Announcement &announcement) const;
+    Standing standingOf(Fingerprint fingerprint) const;
+
+    const RouterInfo &self() const { return self_; }
+    const View &view() const { return view_; }
+    const Lists &lists() const { return lists_; }
+    const std::map<std::string, KnownEndpoint> &endpoints() const { return endpoints_; }
+    const std::set<std::string> &owned() const { return owned_; }
+    bool everLeased() const { return everLeased_; }
+    bool leaving() const { return leaving_; }
+    Epoch activeEpoch() const { return activeEpoch_; }
+    // Time left of the lease; zero or less without one.
+    Duration leaseLeft(Instant now) const { return leaseEnd_ - now; }
+
+private:
+    struct Heard
+    {
+        Announcement announcement;
+        uint64_t digest = 0;
+        Instant heardAt {};
+        bool reported = false; // since it was heard last
+    };
+
+    void takeRegister(RegisterDelta delta);
+    void takeLoads(const std::vector<SlotLoad> &loads);
+    bool refreshOwnership();
+
+    RouterInfo self_;
+    uint64_t sequence_ = 0;
+    uint64_t lastReply_ = 0;
+    std::map<uint64_t, Instant> sentAt_;
+    Instant leaseEnd_ {};
+    bool everLeased_ = false;
+    bool leaving_ = false;
+    View view_;
+    Epoch activeEpoch_ = 0;
+    Lists lists_;
+    std::unordered_map<Fingerprint, Standing> suspects_;
+    uint64_t suspectsVersion_ = 0;
+    uint64_t leaderTerm_ = 0;
+    uint64_t registerTerm_ = 0;
+    uint64_t registerVersion_ = 0;
+    std::map<std::string, KnownEndpoint> endpoints_;
+    std::map<Slot, std::string> slots_;
+    std::map<std::string, Heard> heard_;
+    std::set<std::string> owned_;
+};
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/node/controltask.cc
@@ -0,0 +1,452 @@
+// Drives the control replica.
+
+#include "node/controltask.h"
+
+#include <random>
+
+#include <fmt/format.h>
+
+#include "base/log.h"
+#include "node/convert.h"
+
+namespace bamboogap {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr Duration kCoordinate = std::chrono::milliseconds(100);
+constexpr Duration kAskToJoin = std::chrono::seconds(1);
+constexpr Duration kExpire = std::chrono::seconds(5);
+constexpr Duration kMessageLimit = std::chrono::seconds(1);
+constexpr Duration kSnapshotLimit = std::chrono::seconds(30);
+constexpr int kMaxUnanswered = 64;
+
+uint64_t randomNumber()
+{
+    std::random_device device;
+    return (uint64_t { device() } << 32) | device();
+}
+
+tl::unexpected<Error> notLeader()
+{
+    return failure(ErrorKind::NoLeader, "this replica does not lead the control group",
+                   "send it to the leader, or again in a second");
+}
+
+} // namespace
+
+Result<std::unique_ptr<ControlTask>> ControlTask::open(EventLoop &loop, Peers &peers,
+                                                       ControlSettings settings, Disk disk)
+{
+    std::unique_ptr<ControlTask> task(
+            new ControlTask(loop, peers, std::move(settings), std::move(disk)));
+    auto opened = task->store_.open(randomNumber());
+    if (!opened)
+        return tl::unexpected(opened.error());
+    auto state = ControlState::load(opened->stored.snapshot.data, task->settings_.limits);
+    if (!state)
+        return tl::unexpected(state.error());
+    task->state_ = std::move(*state);
+    task->applied_ = opened->stored.snapshot.index;
+    logEvent(LogLevel::Info, "replica_opened",
+             { { "replica", fmt::format("{:016x}", opened->id) },
+               { "fresh", opened->fresh ? "yes" : "no" },
+               { "snapshot", fmt::to_string(opened->stored.snapshot.index) },
+               { "entries", fmt::to_string(opened->stored.entries.size()) },
+               { "cut_bytes", fmt::to_string(opened->cutBytes) } });
+    task->raft_
+            = std::make_unique<Raft>(opened->id, task->settings_.timing, std::move(opened->stored),
+                                     randomNumber(), BootClock::now());
+    return task;
+}
+
+ControlTask::ControlTask(EventLoop &loop, Peers &peers, ControlSettings settings, Disk disk)
+    : loop_(loop)
+    , peers_(peers)
+    , settings_(std::move(settings))
+    , store_(std::move(disk))
+    , state_(settings_.limits)
+{
+}
+
+void ControlTask::start()
+{
+    loop_.every(kTick, [this] { tick(); });
+    loop_.every(kCoordinate, [this] { coordinate(); });
+    loop_.every(kAskToJoin, [this] { askToJoin(); });
+    loop_.every(kExpire, [this] {
+        const int64_t now = wallClockMillis();
+        if (maySpeak() && (state_.calls().hasExpired(now) || state_.suspects().hasExpired(now)))
+            loop_.detach(command(ExpireCommand { now }).ignoreResult(), "expire");
+    });
+}
+
+bool ControlTask::maySpeak() const
+{
+    return !failed_ && raft_->maySpeak(BootClock::now());
+}
+
+std::string ControlTask::leaderAddress() const
+{
+    const Replica *leader = raft_->membership().find(raft_->leader());
+    return leader ? leader->address : std::string();
+}
+
+kj::Promise<Result<CommandAnswer>> ControlTask::command(const Command &command)
+{
+    if (failed_)
+        return Result<CommandAnswer>(notLeader());
+    auto index = raft_->propose(encodeCommand(command), BootClock::now());
+    if (!index)
+        return Result<CommandAnswer>(tl::unexpected(index.error()));
+    auto paf = kj::newPromiseAndFulfiller<Result<CommandAnswer>>();
+    pending_[*index] = { raft_->term(), kj::mv(paf.fulfiller) };
+    drain();
+    return kj::mv(paf.promise);
+}
+
+HeartbeatReply ControlTask::heartbeat(const Heartbeat &heartbeat)
+{
+    return coordinator_->heartbeat(heartbeat, state_, BootClock::now());
+}
+
+void ControlTask::receive(const RaftMessage &message, std::string_view fromAddress)
+{
+    if (failed_)
+        return;
+    addresses_[message.from] = fromAddress;
+    raft_->receive(message, BootClock::now());
+    drain();
+}
+
+void ControlTask::join(const Joining &replica)
+{
+    joining_[replica.id] = replica;
+}
+
+Result<void> ControlTask::removeReplica(std::string_view name)
+{
+    auto next = membershipWithout(raft_->membership(), name, raft_->id());
+    if (!next)
+        return tl::unexpected(next.error());
+    std::erase_if(joining_, [&](const auto &item) { return item.second.name == name; });
+    auto index = raft_->proposeMembership(*next, BootClock::now());
+    if (!index)
+        return tl::unexpected(index.error());
+    drain();
+    return {};
+}
+
+kj::Promise<Result<void>> ControlTask::bootstrap()
+{
+    auto answers = kj::heapArrayBuilder<kj::Promise<Result<void>>>(settings_.peers.size());
+    for (const std::string &address : settings_.peers) {
+        auto asked = peers_.node(address, Lane::Control)
+                             .identifyRequest()
+                             .send()
+                             .then([address](auto &&response) -> Result<void> {
+                                 if (!response.getInGroup())
+                                     return {};
+                                 return failure(ErrorKind::Conflict,
+                                                fmt::format("the replica at {} belongs to a group",
+                                                            address),
+                                                "do not bootstrap: an empty replica joins that "
+                                                "group by itself");
+                             });
+        answers.add(loop_.within(kMessageLimit * 3, kj::mv(asked))
+                            .catch_([address](kj::Exception &&) -> Result<void> {
+                                return failure(
+                                        ErrorKind::PeerFailed,
+                                        fmt::format("the node at {} does not answer", address),
+                                        "start every node named in control.replicas first");
+                            }));
+    }
+    return kj::joinPromises(answers.finish()).then([this](auto &&outcomes) -> Result<void> {
+        for (auto &outcome : outcomes) {
+            if (!outcome)
+                return outcome;
+        }
+        Replica self;
+        self.name = settings_.name;
+        self.address = settings_.address;
+        auto started = raft_->bootstrap(self, BootClock::now());
+        if (started)
+            drain();
+        return started;
+    });
+}
+
+void ControlTask::handOver()
+{
+    if (failed_)
+        return;
+    raft_->transferLeadership(BootClock::now());
+    drain();
+}
+
+void ControlTask::tick()
+{
+    if (failed_)
+        return;
+    raft_->tick(BootClock::now());
+    drain();
+}
+
+// Handles outputs until there are none; applying an entry may bring more.
+void ControlTask::drain()
+{
+    if (draining_)
+        return;
+    draining_ = true;
+    while (!failed_ && handle(raft_->takeOutput())) { }
+    draining_ = false;
+    if (failed_)
+        return;
+    followRole();
+    compact();
+}
+
+// False if there was nothing to handle.
+bool ControlTask::handle(RaftOutput output)
+{
+    if (!output.hasDurablePart() && output.messages.empty() && output.committed.empty())
+        return false;
+    if (output.hasDurablePart()) {
+        if (auto stored = store_.store(output); !stored) {
+            stopReplica(stored.error());
+            return false;
+        }
+    }
+    if (output.installed) {
+        auto state = ControlState::load(output.installed->data, settings_.limits);
+        if (!state) {
+            stopReplica(state.error());
+            return false;
+        }
+        state_ = std::move(*state);
+        applied_ = output.installed->index;
+        logEvent(LogLevel::Info, "snapshot_installed", { { "index", fmt::to_string(applied_) } });
+    }
+    for (const RaftMessage &message : output.messages)
+        sendMessage(message);
+    for (const LogEntry &entry : output.committed)
+        applyEntry(entry);
+    return !failed_;
+}
+
+void ControlTask::applyEntry(const LogEntry &entry)
+{
+    if (failed_ || entry.index <= applied_)
+        return;
+    applied_ = entry.index;
+    const auto waiting = pending_.find(entry.index);
+    if (entry.kind == EntryKind::Command) {
+        auto command = parseCommand(entry.data);
+        if (!command) {
+            stopReplica(command.error());
+            return;
+        }
+        const CommandAnswer answer = state_.apply(*command);
+        if (waiting != pending_.end() && waiting->second.term == entry.term)
+            waiting->second.fulfiller->fulfill(Result<CommandAnswer>(answer));
+        else if (waiting != pending_.end())
+            waiting->second.fulfiller->fulfill(Result<CommandAnswer>(notLeader()));
+    } else if (waiting != pending_.end()) {
+        waiting->second.fulfiller->fulfill(Result<CommandAnswer>(notLeader()));
+    }
+    if (waiting != pending_.end())
+        pending_.erase(waiting);
+}
+
+void ControlTask::sendMessage(const RaftMessage &message)
+{
+    const Replica *member = raft_->membership().find(message.to);
+    const auto known = addresses_.find(message.to);
+    const std::string address = member  ? member->address
+            : known != addresses_.end() ? known->second
+                                        : std::string();
+    if (address.empty() || unanswered_[message.to] >= kMaxUnanswered)
+        return; // the log does not count on delivery
+    auto request = peers_.node(address, Lane::Control).raftRequest();
+    write(message, request.initMessage());
+    request.setFromAddress(settings_.address);
+    ++unanswered_[message.to];
+    const Duration limit = message.snapshot ? kSnapshotLimit : kMessageLimit;
+    const ReplicaId to = message.to;
+    loop_.detach(loop_.within(limit, request.send().ignoreResult())
+                         .then([this, to]() { --unanswered_[to]; },
+                               [this, to, address](kj::Exception &&problem) {
+                                   --unanswered_[to];
+                                   if (problem.getType() == kj::Exception::Type::OVERLOADED)
+                                       peers_.drop(address, Lane::Control);
+                               }),
+                 "raft message");
+}
+
+// The coordinator lives from when this replica may first speak in a term until
+// it no longer leads in it.
+void ControlTask::followRole()
+{
+    const bool leads = raft_->role() == RaftRole::Leader;
+    if (coordinator_ && (!leads || raft_->term() != coordinatorTerm_)) {
+        coordinator_.reset();
+        logEvent(LogLevel::Warning, "leadership_ended",
+                 { { "term", fmt::to_string(coordinatorTerm_) } });
+    }
+    if (!leads && !pending_.empty())
+        rejectPending();
+    if (leads && !coordinator_ && maySpeak()) {
+        coordinatorTerm_ = raft_->term();
+        viewProposal_ = 0;
+        coordinator_ = std::make_unique<Coordinator>(settings_.coordinator, coordinatorTerm_,
+                                                     state_.view(), BootClock::now());
+        logEvent(LogLevel::Info, "leadership_begun",
+                 { { "term", fmt::to_string(coordinatorTerm_) },
+                   { "epoch", fmt::to_string(state_.view().epoch) },
+                   { "revision", fmt::to_string(state_.lists().revision) } });
+    }
+}
+
+void ControlTask::coordinate()
+{
+    if (failed_ || !coordinator_ || !maySpeak())
+        return;
+    const Instant now = BootClock::now();
+    if (viewProposal_ <= applied_) {
+        if (auto view = coordinator_->tick(state_, now, wallClockMillis())) {
+            logEvent(LogLevel::Info, "view_proposed",
+                     { { "epoch", fmt::to_string(view->base + 1) },
+                       { "routers", fmt::to_string(view->routers.size()) },
+                       { "lost", fmt::to_string(view->ended.size()) } });
+            if (auto index = raft_->propose(encodeCommand(*view), now))
+                viewProposal_ = *index;
+        }
+    }
+    const auto match = [this](ReplicaId id) { return raft_->matchIndex(id); };
+    if (auto next = nextMembership(raft_->membership(), joining_, match, raft_->commitIndex())) {
+        if (raft_->proposeMembership(*next, now)) {
+            logEvent(LogLevel::Info, "membership_proposed",
+                     { { "members", fmt::to_string(next->members.size()) },
+                       { "voters", fmt::to_string(next->voterCount()) } });
+        }
+    }
+    drain();
+}
+
+// A replica that the operators removed does not ask again.
+void ControlTask::askToJoin()
+{
+    if (failed_)
+        return;
+    const Replica *self = raft_->membership().find(raft_->id());
+    wasMember_ = wasMember_ || self;
+    const bool settled = self && self->voter && self->address == settings_.address;
+    if (settled || (wasMember_ && !self))
+        return;
+    std::vector<std::string> targets = settings_.peers;
+    if (!leaderAddress().empty())
+        targets = { leaderAddress() };
+    for (const std::string &address : targets) {
+        auto request = peers_.node(address, Lane::Control).joinRequest();
+        request.setId(raft_->id());
+        request.setName(settings_.name);
+        request.setAddress(settings_.address);
+        loop_.detach(loop_.within(kMessageLimit, request.send().ignoreResult())
+                             .catch_([](kj::Exception &&) {}),
+                     "join");
+    }
+}
+
+void ControlTask::compact()
+{
+    if (raft_->entryCount() < settings_.snapshotEvery || applied_ <= raft_->snapshotIndex())
+        return;
+    const Snapshot snapshot = raft_->compact(applied_, state_.save());
+    if (auto stored = store_.storeSnapshot(snapshot, raft_->entries()); !stored)
+        stopReplica(stored.error());
+}
+
+void ControlTask::stopReplica(const Error &error)
+{
+    failed_ = true;
+    coordinator_.reset();
+    rejectPending();
+    logEvent(LogLevel::Error, "replica_stopped",
+             { { "problem", error.message }, { "remedy", error.remedy } });
+}
+
+void ControlTask::rejectPending()
+{
+    for (auto &[index, pending] : pending_)
+        pending.fulfiller->fulfill(Result<CommandAnswer>(notLeader()));
+    pending_.clear();
+}
+
+nlohmann::json ControlTask::status() const
+{
+    const Instant now = BootClock::now();
+    auto members = nlohmann::json::array();
+    for (const Replica &member : raft_->membership().members) {
+        members.push_back({ { "name", member.name },
+                            { "id", fmt::format("{:016x}", member.id) },
+                            { "address", member.address },
+                            { "voter", member.voter },
+                            { "leads", member.id == raft_->leader() },
+                            { "matched", raft_->matchIndex(member.id) } });
+    }
+    nlohmann::json value { { "term", raft_->term() },
+                           { "commit", raft_->commitIndex() },
+                           { "snapshot", raft_->snapshotIndex() },
+                           { "replica_failed", failed_ },
+                           { "replicas", members },
+                           { "revision", state_.lists().revision },
+                           { "lists", toJson(state_.lists()) },
+                           { "epoch", state_.view().epoch },
+                           { "calls",
+                             { { "records", state_.calls().size() },
+                               { "started", state_.calls().countOf(CallPhase::Started) },
+                               { "unknown", state_.calls().countOf(CallPhase::Unknown) },
+                               { "kept_bytes", state_.calls().keptBytes() } } } };
+    auto suspects = nlohmann::json::array();
+    for (const SuspectChange &item : state_.suspects().all()) {
+        suspects.push_back({ { "fingerprint", fmt::format("{:016x}", item.fingerprint) },
+                             { "quarantined", item.standing == Standing::Quarantined } });
+    }
+    value["suspects"] = suspects;
+    if (!coordinator_)
+        return value;
+    value["active_epoch"] = coordinator_->activeEpoch(state_, now);
+    value["revision_in_force"] = coordinator_->revisionInForce(state_, now);
+    auto routers = nlohmann::json::array();
+    for (const RouterStatus &router : coordinator_->routers(state_, now)) {
+        routers.push_back({ { "name", router.router.name },
+                            { "data_centre", router.router.dataCentre },
+                            { "address", router.router.address },
+                            { "in_view", router.inView },
+                            { "leased", router.leased },
+                            { "leaving", router.leaving },
+                            { "epoch", router.ackedEpoch },
+                            { "revision", router.ackedRevision },
+                            { "silent_ms", router.silentMillis } });
+    }
+    value["routers"] = routers;
+    auto endpoints = nlohmann::json::array();
+    for (const auto &[slot, entry] : coordinator_->endpoints().entries()) {
+        const Announcement &endpoint = entry.announcement;
+        const RouterInfo *owner = ownerOf(state_.view(), endpoint.id, endpoint.dataCentre);
+        endpoints.push_back({ { "id", endpoint.id },
+                              { "data_centre", endpoint.dataCentre },
+                              { "pool", endpoint.poolName() },
+                              { "address", endpoint.address },
+                              { "capacity", endpoint.capacity },
+                              { "cold", endpoint.cold },
+                              { "leaving", endpoint.leaving },
+                              { "out", state_.lists().isOut(endpoint.dataCentre, endpoint.id) },
+                              { "owner", owner ? owner->name : std::string() } });
+    }
+    value["endpoints"] = endpoints;
+    value["held_down"] = coordinator_->endpoints().heldDownCount(now);
+    return value;
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/controltask.h
@@ -0,0 +1,116 @@
+// The control replica of a node: drives the replicated log on its disk and, as
+// leader, the coordinator.
+//
+// Every output of the log is stored and synced before its messages are sent
+// and its entries applied. If the disk fails the replica stops for good: it
+// votes no more, answers nothing, and says so in the log and the status.
+
+#ifndef BAMBOOGAP_NODE_CONTROLTASK_H
+#define BAMBOOGAP_NODE_CONTROLTASK_H
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "control/logstore.h"
+#include "control/membership.h"
+#include "control/raft.h"
+#include "control/state.h"
+#include "fleet/coordinator.h"
+#include "node/eventloop.h"
+#include "node/peers.h"
+
+namespace bamboogap {
+
+struct ControlSettings
+{
+    std::string name; // of the router that the replica runs in
+    std::string address; // where peers reach it
+    std::vector<std::string> peers; // of the replicas to start with
+    RaftTiming timing;
+    CoordinatorSettings coordinator;
+    StateLimits limits;
+    size_t snapshotEvery = 2000; // entries
+};
+
+class ControlTask
+{
+public:
+    // StorageFailed or StorageDamaged if the data folder cannot be used.
+    static Result<std::unique_ptr<ControlTask>> open(EventLoop &loop, Peers &peers,
+                                                     ControlSettings settings, Disk disk);
+
+    void start();
+
+    // True while this replica may answer as the leader.
+    bool maySpeak() const;
+    // Where the leader is thought to be; empty if not known.
+    std::string leaderAddress() const;
+
+    // Commits a command and gives its answer; NoLeader if it did not get through.
+    kj::Promise<Result<CommandAnswer>> command(const Command &command);
+
+    // To be called only while maySpeak().
+    HeartbeatReply heartbeat(const Heartbeat &heartbeat);
+
+    void receive(const RaftMessage &message, std::string_view fromAddress);
+    void join(const Joining &replica);
+    Result<void> removeReplica(std::string_view name);
+
+    // Starts a new group with this replica alone; the others join it. Conflict
+    // if any of the peers belongs to a group, PeerFailed if one does not answer.
+    kj::Promise<Result<void>> bootstrap();
+
+    // Hands over leadership before a planned stop.
+    void handOver();
+
+    ReplicaId id() const { return raft_->id(); }
+    bool inGroup() const { return raft_->lastIndex() > 0; }
+    bool failed() const { return failed_; }
+    nlohmann::json status() const;
+
+private:
+    struct Pending
+    {
+        Term term = 0;
+        kj::Own<kj::PromiseFulfiller<Result<CommandAnswer>>> fulfiller;
+    };
+
+    ControlTask(EventLoop &loop, Peers &peers, ControlSettings settings, Disk disk);
+
+    void tick();
+    void drain();
+    bool handle(RaftOutput output);
+    void applyEntry(const LogEntry &entry);
+    void sendMessage(const RaftMessage &message);
+    void followRole();
+    void coordinate();
+    void askToJoin();
+    void compact();
+    void stopReplica(const Error &error);
+    void rejectPending();
+
+    EventLoop &loop_;
+    Peers &peers_;
+    ControlSettings settings_;
+    LogStore store_;
+    std::unique_ptr<Raft> raft_;
+    ControlState state_;
+    std::unique_ptr<Coordinator> coordinator_;
+    Term coordinatorTerm_ = 0;
+    LogIndex applied_ = 0;
+    LogIndex viewProposal_ = 0; // not applied yet
+    bool draining_ = false;
+    bool failed_ = false;
+    bool wasMember_ = false;
+    std::map<LogIndex, Pending> pending_;
+    std::map<ReplicaId, std::string> addresses_;
+    std::map<ReplicaId, int> unanswered_; // messages in flight
+    std::map<ReplicaId, Joining> joining_;
+};
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/node/convert.cc
@@ -0,0 +1,332 @@
+// Field-by-field conversions.
+
+#include "node/convert.h"
+
+namespace bamboogap {
+
+using nlohmann::json;
+
+std::string toCbor(const json &value)
+{
+    const std::vector<uint8_t> bytes = json::to_cbor(value);
+    return std::string(bytes.begin(), bytes.end());
+}
+
+Result<json> fromCbor(std::string_view bytes)
+{
+    json value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (value.is_discarded()) {
+        return failure(ErrorKind::PeerFailed, "a peer sent a message that cannot be read",
+                       "run the same version on every node");
+    }
+    return value;
+}
+
+void write(const RaftMessage &message, wire::RaftMessage::Builder builder)
+{
+    builder.setKind(static_cast<uint8_t>(message.kind));
+    builder.setFrom(message.from);
+    builder.setTo(message.to);
+    builder.setTerm(message.term);
+    builder.setIndex(message.index);
+    builder.setLogTerm(message.logTerm);
+    builder.setCommit(message.commit);
+    builder.setReject(message.reject);
+    builder.setTransfer(message.transfer);
+    builder.setRound(message.round);
+    auto entries = builder.initEntries(message.entries.size());
+    for (size_t i = 0; i < message.entries.size(); ++i) {
+        entries[i].setIndex(message.entries[i].index);
+        entries[i].setTerm(message.entries[i].term);
+        entries[i].setKind(static_cast<uint8_t>(message.entries[i].kind));
+        entries[i].setData(toData(message.entries[i].data));
+    }
+    if (!message.snapshot)
+        return;
+    auto snapshot = builder.initSnapshot();
+    snapshot.setIndex(message.snapshot->index);
+    snapshot.setTerm(message.snapshot->term);
+    snapshot.setData(toData(message.snapshot->data));
+    const auto &members = message.snapshot->membership.members;
+    auto list = snapshot.initMembers(members.size());
+    for (size_t i = 0; i < members.size(); ++i) {
+        list[i].setId(members[i].id);
+        list[i].setName(members[i].name);
+        list[i].setAddress(members[i].address);
+        list[i].setVoter(members[i].voter);
+    }
+}
+
+RaftMessage read(wire::RaftMessage::Reader reader)
+{
+    RaftMessage message;
+    message.kind = static_cast<RaftMessageKind>(reader.getKind());
+    message.from = reader.getFrom();
+    message.to = reader.getTo();
+    message.term = reader.getTerm();
+    message.index = reader.getIndex();
+    message.logTerm = reader.getLogTerm();
+    message.commit = reader.getCommit();
+    message.reject = reader.getReject();
+    message.transfer = reader.getTransfer();
+    message.round = reader.getRound();
+    for (const auto entry : reader.getEntries()) {
+        message.entries.push_back({ entry.getIndex(), entry.getTerm(),
+                                    static_cast<EntryKind>(entry.getKind()),
+                                    std::string(toView(entry.getData())) });
+    }
+    if (!reader.hasSnapshot())
+        return message;
+    Snapshot snapshot;
+    snapshot.index = reader.getSnapshot().getIndex();
+    snapshot.term = reader.getSnapshot().getTerm();
+    snapshot.data = toView(reader.getSnapshot().getData());
+    for (const auto member : reader.getSnapshot().getMembers()) {
+        snapshot.membership.members.push_back(
+                { member.getId(), std::string(toView(member.getName())),
+                  std::string(toView(member.getAddress())), member.getVoter() });
+    }
+    message.snapshot = std::move(snapshot);
+    return message;
+}
+
+void write(const RouterInfo &router, wire::RouterInfo::Builder builder)
+{
+    builder.setName(router.name);
+    builder.setIncarnation(router.incarnation);
+    builder.setDataCentre(router.dataCentre);
+    builder.setAddress(router.address);
+}
+
+RouterInfo read(wire::RouterInfo::Reader reader)
+{
+    return { std::string(toView(reader.getName())), reader.getIncarnation(),
+             std::string(toView(reader.getDataCentre())),
+             std::string(toView(reader.getAddress())) };
+}
+
+void write(const Heartbeat &heartbeat, wire::Heartbeat::Builder builder)
+{
+    write(heartbeat.router, builder.initRouter());
+    builder.setSequence(heartbeat.sequence);
+    builder.setKnownEpoch(heartbeat.knownEpoch);
+    builder.setKnownRevision(heartbeat.knownRevision);
+    builder.setKnownSuspects(heartbeat.knownSuspects);
+    builder.setLeaderTerm(heartbeat.leaderTerm);
+    builder.setRegisterTerm(heartbeat.registerTerm);
+    builder.setRegisterVersion(heartbeat.registerVersion);
+    builder.setLeaving(heartbeat.leaving);
+    auto heard = builder.initHeard(heartbeat.heard.size());
+    for (size_t i = 0; i < heartbeat.heard.size(); ++i) {
+        const HeardEndpoint &item = heartbeat.heard[i];
+        heard[i].setKey(item.key);
+        heard[i].setDigest(item.digest);
+        heard[i].setAgeMillis(item.ageMillis);
+        if (item.announcement)
+            heard[i].setAnnouncement(toData(toCbor(toJson(*item.announcement))));
+    }
+    auto loads = builder.initLoads(heartbeat.loads.size());
+    for (size_t i = 0; i < heartbeat.loads.size(); ++i) {
+        loads[i].setKey(heartbeat.loads[i].key);
+        loads[i].setRunning(heartbeat.loads[i].running);
+        loads[i].setRampLimit(heartbeat.loads[i].rampLimit);
+    }
+}
+
+namespace {
+
+Result<Announcement> readAnnouncement(capnp::Data::Reader data)
+{
+    auto value = fromCbor(toView(data));
+    if (!value)
+        return tl::unexpected(value.error());
+    return parseAnnouncement(*value);
+}
+
+} // namespace
+
+Result<Heartbeat> read(wire::Heartbeat::Reader reader)
+{
+    Heartbeat heartbeat;
+    heartbeat.router = read(reader.getRouter());
+    heartbeat.sequence = reader.getSequence();
+    heartbeat.knownEpoch = reader.getKnownEpoch();
+    heartbeat.knownRevision = reader.getKnownRevision();
+    heartbeat.knownSuspects = reader.getKnownSuspects();
+    heartbeat.leaderTerm = reader.getLeaderTerm();
+    heartbeat.registerTerm = reader.getRegisterTerm();
+    heartbeat.registerVersion = reader.getRegisterVersion();
+    heartbeat.leaving = reader.getLeaving();
+    for (const auto item : reader.getHeard()) {
+        HeardEndpoint heard;
+        heard.key = item.getKey();
+        heard.digest = item.getDigest();
+        heard.ageMillis = item.getAgeMillis();
+        if (item.getAnnouncement().size() > 0) {
+            auto announcement = readAnnouncement(item.getAnnouncement());
+            if (!announcement)
+                return tl::unexpected(announcement.error());
+            heard.announcement = std::move(*announcement);
+        }
+        heartbeat.heard.push_back(std::move(heard));
+    }
+    for (const auto load : reader.getLoads())
+        heartbeat.loads.push_back({ load.getKey(), load.getRunning(), load.getRampLimit() });
+    return heartbeat;
+}
+
+void write(const HeartbeatReply &reply, wire::HeartbeatReply::Builder builder)
+{
+    builder.setSequence(reply.sequence);
+    builder.setTerm(reply.term);
+    builder.setGranted(reply.granted);
+    builder.setLeaseMicros(static_cast<uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(reply.lease).count()));
+    if (reply.view) {
+        auto view = builder.initView();
+        view.setEpoch(reply.view->epoch);
+        auto routers = view.initRouters(reply.view->routers.size());
+        for (size_t i = 0; i < reply.view->routers.size(); ++i)
+            write(reply.view->routers[i], routers[i]);
+    }
+    builder.setActiveEpoch(reply.activeEpoch);
+    if (reply.lists)
+        builder.setLists(toData(toCbor(toJson(*reply.lists))));
+    builder.setSuspectsVersion(reply.suspectsVersion);
+    builder.setHasSuspects(reply.suspects.has_value());
+    if (reply.suspects) {
+        auto suspects = builder.initSuspects(reply.suspects->size());
+        for (size_t i = 0; i < reply.suspects->size(); ++i) {
+            suspects[i].setFingerprint((*reply.suspects)[i].fingerprint);
+            suspects[i].setStanding(static_cast<uint8_t>((*reply.suspects)[i].standing));
+        }
+    }
+    builder.setRegisterReady(reply.registerReady);
+    builder.setRegisterTerm(reply.registered.term);
+    builder.setRegisterVersion(reply.registered.version);
+    builder.setRegisterFull(reply.registered.full);
+    auto changed = builder.initChanged(reply.registered.changed.size());
+    for (size_t i = 0; i < reply.registered.changed.size(); ++i) {
+        const RegisterEntry &entry = reply.registered.changed[i];
+        changed[i].setSlot(entry.slot);
+        changed[i].setAnnouncement(toData(toCbor(toJson(entry.announcement))));
+    }
+    auto removed = builder.initRemoved(reply.registered.removed.size());
+    for (size_t i = 0; i < reply.registered.removed.size(); ++i)
+        removed.set(i, reply.registered.removed[i]);
+    auto running = builder.initRunning(reply.loads.size());
+    auto rampLimits = builder.initRampLimits(reply.loads.size());
+    for (size_t i = 0; i < reply.loads.size(); ++i) {
+        running.set(i, reply.loads[i].running);
+        rampLimits.set(i, reply.loads[i].rampLimit);
+    }
+}
+
+Result<HeartbeatReply> read(wire::HeartbeatReply::Reader reader)
+{
+    HeartbeatReply reply;
+    reply.sequence = reader.getSequence();
+    reply.term = reader.getTerm();
+    reply.granted = reader.getGranted();
+    reply.lease = std::chrono::microseconds(reader.getLeaseMicros());
+    if (reader.hasView()) {
+        View view;
+        view.epoch = reader.getView().getEpoch();
+        for (const auto router : reader.getView().getRouters())
+            view.routers.push_back(read(router));
+        reply.view = std::move(view);
+    }
+    reply.activeEpoch = reader.getActiveEpoch();
+    if (reader.getLists().size() > 0) {
+        auto value = fromCbor(toView(reader.getLists()));
+        if (!value)
+            return tl::unexpected(value.error());
+        auto lists = parseLists(*value);
+        if (!lists)
+            return tl::unexpected(lists.error());
+        reply.lists = std::move(*lists);
+    }
+    reply.suspectsVersion = reader.getSuspectsVersion();
+    if (reader.getHasSuspects()) {
+        reply.suspects.emplace();
+        for (const auto item : reader.getSuspects()) {
+            reply.suspects->push_back(
+                    { item.getFingerprint(), static_cast<Standing>(item.getStanding()) });
+        }
+    }
+    reply.registerReady = reader.getRegisterReady();
+    reply.registered.term = reader.getRegisterTerm();
+    reply.registered.version = reader.getRegisterVersion();
+    reply.registered.full = reader.getRegisterFull();
+    for (const auto entry : reader.getChanged()) {
+        auto announcement = readAnnouncement(entry.getAnnouncement());
+        if (!announcement)
+            return tl::unexpected(announcement.error());
+        reply.registered.changed.push_back({ entry.getSlot(), std::move(*announcement) });
+    }
+    for (const auto slot : reader.getRemoved())
+        reply.registered.removed.push_back(slot);
+    const auto running = reader.getRunning();
+    const auto rampLimits = reader.getRampLimits();
+    for (uint i = 0; i < running.size() && i < rampLimits.size(); ++i)
+        reply.loads.push_back({ running[i], rampLimits[i] });
+    return reply;
+}
+
+std::string encodeCommandAnswer(const CommandAnswer &answer)
+{
+    if (const auto *done = std::get_if<Done>(&answer))
+        return toCbor({ { "done", done->performed } });
+    if (const auto *change = std::get_if<ChangeAnswer>(&answer)) {
+        return toCbor({ { "accepted", change->accepted },
+                        { "revision", change->revision },
+                        { "problem", change->problem },
+                        { "kind", errorKindName(change->kind) } });
+    }
+    const auto &start = std::get<StartAnswer>(answer);
+    return toCbor({ { "decision", static_cast<int>(start.decision) },
+                    { "status", start.reply.status },
+                    { "type", start.reply.contentType },
+                    { "body",
+                      json::binary(std::vector<uint8_t>(start.reply.body.begin(),
+                                                        start.reply.body.end())) } });
+}
+
+Result<CommandAnswer> parseCommandAnswer(std::string_view bytes)
+{
+    auto value = fromCbor(bytes);
+    if (!value)
+        return tl::unexpected(value.error());
+    try {
+        if (value->contains("done"))
+            return Done { value->at("done").get<bool>() };
+        if (value->contains("accepted")) {
+            return ChangeAnswer { value->at("accepted").get<bool>(),
+                                  value->at("revision").get<Revision>(),
+                                  value->at("problem").get<std::string>(),
+                                  parseErrorKind(value->at("kind").get<std::string>()) };
+        }
+        const auto &body = value->at("body").get_binary();
+        return StartAnswer { static_cast<StartDecision>(value->at("decision").get<int>()),
+                             { value->at("status").get<int>(), value->at("type").get<std::string>(),
+                               std::string(body.begin(), body.end()) } };
+    } catch (const json::exception &) {
+        return failure(ErrorKind::PeerFailed, "a peer sent an answer that cannot be read",
+                       "run the same version on every node");
+    }
+}
+
+void write(const Error &error, wire::Problem::Builder builder)
+{
+    builder.setKind(std::string(errorKindName(error.kind)));
+    builder.setMessage(error.message);
+    builder.setRemedy(error.remedy);
+}
+
+Error read(wire::Problem::Reader reader)
+{
+    return { parseErrorKind(toView(reader.getKind())), std::string(toView(reader.getMessage())),
+             std::string(toView(reader.getRemedy())) };
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/convert.h
@@ -0,0 +1,61 @@
+// Conversions between the aggregates' plain messages and their wire form.
+//
+// Readers check what they read: a peer's message that cannot be read is
+// PeerFailed and is dropped.
+
+#ifndef BAMBOOGAP_NODE_CONVERT_H
+#define BAMBOOGAP_NODE_CONVERT_H
+
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+#include "control/raft.h"
+#include "control/state.h"
+#include "fleet/heartbeat.h"
+#include "node/wire.capnp.h"
+
+namespace bamboogap {
+
+inline std::string_view toView(capnp::Text::Reader text)
+{
+    return { text.cStr(), text.size() };
+}
+
+inline std::string_view toView(capnp::Data::Reader data)
+{
+    return { reinterpret_cast<const char *>(data.begin()), data.size() };
+}
+
+inline capnp::Data::Reader toData(std::string_view bytes)
+{
+    return { reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size() };
+}
+
+std::string toCbor(const nlohmann::json &value);
+// PeerFailed if the bytes are no CBOR.
+Result<nlohmann::json> fromCbor(std::string_view bytes);
+
+void write(const RaftMessage &message, wire::RaftMessage::Builder builder);
+RaftMessage read(wire::RaftMessage::Reader reader);
+
+void write(const RouterInfo &router, wire::RouterInfo::Builder builder);
+RouterInfo read(wire::RouterInfo::Reader reader);
+
+void write(const Heartbeat &heartbeat, wire::Heartbeat::Builder builder);
+Result<Heartbeat> read(wire::Heartbeat::Reader reader);
+
+void write(const HeartbeatReply &reply, wire::HeartbeatReply::Builder builder);
+Result<HeartbeatReply> read(wire::HeartbeatReply::Reader reader);
+
+std::string encodeCommandAnswer(const CommandAnswer &answer);
+Result<CommandAnswer> parseCommandAnswer(std::string_view bytes);
+
+void write(const Error &error, wire::Problem::Builder builder);
+Error read(wire::Problem::Reader reader);
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/node/httpserver.cc
@@ -0,0 +1,365 @@
+// The evhttp server.
+//
+// Two things evhttp leaves to its user. While a handler works, evhttp reads
+// nothing and so does not see a caller go; an own event for the half-close of
+// the socket tells. And its read timeout, meant for slow senders, would also
+// end a long answer, so it is lifted while an answer is on its way.
+
+#include "node/httpserver.h"
+
+#include <cstring>
+#include <strings.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+#include <kj/debug.h>
+
+namespace bamboogap {
+
+namespace {
+
+// A chunk waits for the caller while this much has not been taken.
+constexpr size_t kUntakenBytes = 64 << 10;
+
+constexpr ev_uint16_t kMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT
+        | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+
+std::string methodName(evhttp_cmd_type type)
+{
+    switch (type) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+        return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "UNKNOWN";
+    }
+}
+
+timeval toTimeval(Duration duration)
+{
+    const int64_t millis = toMillis(duration);
+    return { millis / 1000, (millis % 1000) * 1000 };
+}
+
+std::string takeBody(evhttp_request *request)
+{
+    evbuffer *input = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, body.data(), body.size());
+    return body;
+}
+
+void addHeaders(evhttp_request *request, const std::vector<HttpHeader> &headers)
+{
+    evkeyvalq *output = evhttp_request_get_output_headers(request);
+    for (const HttpHeader &header : headers)
+        evhttp_add_header(output, header.name.c_str(), header.value.c_str());
+}
+
+} // namespace
+
+struct HttpServer::Exchange
+{
+    HttpServer *server = nullptr;
+    ExchangeId id = 0;
+    evhttp_request *request = nullptr; // null once evhttp has freed it
+    event *closeEvent = nullptr;
+    bool gone = false; // the caller closed its side
+    bool streaming = false;
+    std::function<void()> closedHook;
+    kj::Own<kj::PromiseFulfiller<void>> taken;
+
+    ~Exchange()
+    {
+        if (closeEvent)
+            event_free(closeEvent);
+        if (request) {
+            if (evhttp_connection *connection = evhttp_request_get_connection(request))
+                evhttp_connection_set_closecb(connection, nullptr, nullptr);
+            evhttp_request_set_on_complete_cb(request, nullptr, nullptr);
+        }
+    }
+
+    // Reports once that the caller has gone.
+    void callerGone()
+    {
+        if (gone)
+            return;
+        gone = true;
+        if (taken) {
+            auto fulfiller = kj::mv(taken);
+            fulfiller->reject(KJ_EXCEPTION(DISCONNECTED, "the caller has gone"));
+        }
+        if (closedHook) {
+            auto hook = std::move(closedHook);
+            closedHook = nullptr;
+            hook();
+        }
+    }
+};
+
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    for (const HttpHeader &header : headers) {
+        if (header.name.size() == name.size()
+            && strncasecmp(header.name.data(), name.data(), name.size()) == 0)
+            return header.value;
+    }
+    return {};
+}
+
+std::string_view HttpRequest::pathOnly() const
+{
+    return std::string_view(path).substr(0, path.find('?'));
+}
+
+std::string_view HttpRequest::query(std::string_view name) const
+{
+    const size_t mark = path.find('?');
+    std::string_view rest = mark == std::string::npos ? std::string_view()
+                                                      : std::string_view(path).substr(mark + 1);
+    while (!rest.empty()) {
+        const size_t end = std::min(rest.find('&'), rest.size());
+        const std::string_view pair = rest.substr(0, end);
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+        const size_t equals = pair.find('=');
+        if (pair.substr(0, equals) == name)
+            return equals == std::string_view::npos ? "" : pair.substr(equals + 1);
+    }
+    return {};
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop,
+                                                       const SocketAddress &address,
+                                                       const HttpLimits &limits, Handler handler)
+{
+    std::unique_ptr<HttpServer> server(new HttpServer(loop, limits, std::move(handler)));
+    server->bound_
+            = evhttp_bind_socket_with_handle(server->http_, address.host.c_str(), address.port);
+    if (!server->bound_) {
+        return failure(ErrorKind::InvalidSettings,
+                       fmt::format("cannot listen on {}:{}: {}", address.host, address.port,
+                                   std::strerror(errno)),
+                       "free the port or give another one");
+    }
+    return server;
+}
+
+HttpServer::HttpServer(EventLoop &loop, const HttpLimits &limits, Handler handler)
+    : loop_(loop)
+    , limits_(limits)
+    , handler_(std::move(handler))
+    , http_(evhttp_new(loop.base()))
+{
+    evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
+    evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(limits.maxBodyBytes));
+    evhttp_set_allowed_methods(http_, kMethods);
+    const timeval senderLimit = toTimeval(limits.slowSender);
+    evhttp_set_timeout_tv(http_, &senderLimit);
+    evhttp_set_gencb(http_, &HttpServer::onRequest, this);
+}
+
+HttpServer::~HttpServer()
+{
+    exchanges_.clear();
+    evhttp_free(http_);
+}
+
+void HttpServer::onRequest(evhttp_request *request, void *context)
+{
+    auto *server = static_cast<HttpServer *>(context);
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    bufferevent *buffered = evhttp_connection_get_bufferevent(connection);
+    const evutil_socket_t socket = bufferevent_getfd(buffered);
+    setNoDelay(socket);
+    const timeval readerLimit = toTimeval(server->limits_.slowReader);
+    bufferevent_set_timeouts(buffered, nullptr, &readerLimit);
+
+    const ExchangeId id = ++server->lastId_;
+    auto exchange = std::make_unique<Exchange>();
+    exchange->server = server;
+    exchange->id = id;
+    exchange->request = request;
+    exchange->closeEvent = event_new(
+            server->loop_.base(), socket, EV_CLOSED,
+            [](evutil_socket_t, short, void *raw) { static_cast<Exchange *>(raw)->callerGone(); },
+            exchange.get());
+    event_add(exchange->closeEvent, nullptr);
+    evhttp_connection_set_closecb(
+            connection,
+            [](evhttp_connection *, void *raw) {
+                auto *closing = static_cast<Exchange *>(raw);
+                closing->request = nullptr;
+                closing->server->closed(closing->id);
+            },
+            exchange.get());
+    evhttp_request_set_on_complete_cb(request, &HttpServer::onComplete, exchange.get());
+    server->exchanges_[id] = std::move(exchange);
+
+    HttpRequest parsed;
+    parsed.method = methodName(evhttp_request_get_command(request));
+    parsed.path = evhttp_request_get_uri(request);
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval *item = headers->tqh_first; item; item = item->next.tqe_next)
+        parsed.headers.push_back({ item->key, item->value });
+    parsed.body = takeBody(request);
+    server->handler_(id, std::move(parsed));
+}
+
+// evhttp has written the whole answer; the connection may bring another request.
+void HttpServer::onComplete(evhttp_request *request, void *context)
+{
+    auto *exchange = static_cast<Exchange *>(context);
+    HttpServer *server = exchange->server;
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    if (connection) {
+        const timeval limit = toTimeval(server->limits_.slowSender);
+        bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection), &limit, &limit);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
+    exchange->request = nullptr;
+    server->exchanges_.erase(exchange->id);
+}
+
+// evhttp has closed the connection and frees the request itself.
+void HttpServer::closed(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    exchange->callerGone();
+    exchanges_.erase(id);
+}
+
+HttpServer::Exchange *HttpServer::find(ExchangeId id)
+{
+    const auto found = exchanges_.find(id);
+    return found == exchanges_.end() ? nullptr : found->second.get();
+}
+
+void HttpServer::reply(ExchangeId id, const HttpReply &reply)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->streaming)
+        return;
+    exchange->closedHook = nullptr;
+    evkeyvalq *output = evhttp_request_get_output_headers(exchange->request);
+    if (!reply.contentType.empty())
+        evhttp_add_header(output, "Content-Type", reply.contentType.c_str());
+    addHeaders(exchange->request, reply.headers);
+    evbuffer *body = evbuffer_new();
+    evbuffer_add(body, reply.body.data(), reply.body.size());
+    evhttp_send_reply(exchange->request, reply.status, nullptr, body);
+    evbuffer_free(body);
+}
+
+void HttpServer::startStream(ExchangeId id, int status, std::string_view contentType,
+                             const std::vector<HttpHeader> &headers)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->streaming)
+        return;
+    exchange->streaming = true;
+    evkeyvalq *output = evhttp_request_get_output_headers(exchange->request);
+    evhttp_add_header(output, "Content-Type", std::string(contentType).c_str());
+    addHeaders(exchange->request, headers);
+    evhttp_send_reply_start(exchange->request, status, nullptr);
+}
+
+kj::Promise<void> HttpServer::chunk(ExchangeId id, std::string_view data)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->gone)
+        return KJ_EXCEPTION(DISCONNECTED, "the caller has gone");
+    evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+    evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    evbuffer *buffer = evbuffer_new();
+    evbuffer_add(buffer, data.data(), data.size());
+    evhttp_send_reply_chunk_with_cb(
+            exchange->request, buffer,
+            [](evhttp_connection *, void *raw) {
+                auto *taking = static_cast<Exchange *>(raw);
+                if (!taking->taken)
+                    return;
+                auto fulfiller = kj::mv(taking->taken);
+                fulfiller->fulfill();
+            },
+            exchange);
+    evbuffer_free(buffer);
+    if (evbuffer_get_length(output) <= kUntakenBytes)
+        return kj::READY_NOW;
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    exchange->taken = kj::mv(paf.fulfiller);
+    return kj::mv(paf.promise);
+}
+
+kj::Promise<void> HttpServer::flush(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->gone)
+        return kj::READY_NOW;
+    evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+    evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    if (evbuffer_get_length(output) == 0)
+        return kj::READY_NOW;
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    exchange->taken = kj::mv(paf.fulfiller);
+    return kj::mv(paf.promise);
+}
+
+void HttpServer::endStream(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || !exchange->streaming)
+        return;
+    exchange->closedHook = nullptr;
+    evhttp_send_reply_end(exchange->request);
+}
+
+// Closes the connection before the last chunk: no HTTP client takes that for a
+// whole answer.
+void HttpServer::breakStream(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    exchange->closedHook = nullptr;
+    evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    exchange->request = nullptr;
+    exchanges_.erase(id);
+    evhttp_connection_free(connection);
+}
+
+void HttpServer::onClosed(ExchangeId id, std::function<void()> hook)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->gone) {
+        hook();
+        return;
+    }
+    exchange->closedHook = std::move(hook);
+}
+
+void HttpServer::stopAccepting()
+{
+    if (bound_)
+        evhttp_del_accept_socket(http_, bound_);
+    bound_ = nullptr;
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/httpserver.h
@@ -0,0 +1,110 @@
+// An HTTP server over evhttp whose exchanges are addressed by ids.
+//
+// A handler gets a request and an id, and answers by that id now or later. When
+// the caller has gone, answering does nothing and the close hook was called, so
+// no task holds a pointer into evhttp.
+
+#ifndef BAMBOOGAP_NODE_HTTPSERVER_H
+#define BAMBOOGAP_NODE_HTTPSERVER_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "node/eventloop.h"
+#include "node/settings.h"
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace bamboogap {
+
+using ExchangeId = uint64_t;
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+struct HttpRequest
+{
+    std::string method;
+    std::string path; // with the query
+    std::vector<HttpHeader> headers;
+    std::string body;
+
+    // The value of a header; empty if absent. Names are matched without case.
+    std::string_view header(std::string_view name) const;
+    std::string_view pathOnly() const;
+    // The value of a query parameter, empty if absent. Not decoded.
+    std::string_view query(std::string_view name) const;
+};
+
+struct HttpReply
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+    std::vector<HttpHeader> headers;
+};
+
+class HttpServer
+{
+public:
+    using Handler = std::function<void(ExchangeId, HttpRequest)>;
+
+    // InvalidSettings if the address cannot be listened on.
+    static Result<std::unique_ptr<HttpServer>> listen(EventLoop &loop, const SocketAddress &address,
+                                                      const HttpLimits &limits, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    void reply(ExchangeId id, const HttpReply &reply);
+
+    void startStream(ExchangeId id, int status, std::string_view contentType,
+                     const std::vector<HttpHeader> &headers);
+    // Fulfilled when the caller has taken enough for the next chunk; rejected
+    // when the caller has gone.
+    kj::Promise<void> chunk(ExchangeId id, std::string_view data);
+    // Fulfilled when everything that was written so far has been sent.
+    kj::Promise<void> flush(ExchangeId id);
+    void endStream(ExchangeId id);
+    // Ends a stream so that the caller sees that it is not whole.
+    void breakStream(ExchangeId id);
+
+    // The hook is called once if the caller goes before it was answered.
+    void onClosed(ExchangeId id, std::function<void()> hook);
+
+    // Exchanges that were not answered in full.
+    size_t openCount() const { return exchanges_.size(); }
+    // Stops accepting connections; open ones go on.
+    void stopAccepting();
+
+private:
+    struct Exchange;
+
+    HttpServer(EventLoop &loop, const HttpLimits &limits, Handler handler);
+
+    static void onRequest(evhttp_request *request, void *context);
+    static void onComplete(evhttp_request *request, void *context);
+    void closed(ExchangeId id);
+    Exchange *find(ExchangeId id);
+
+    EventLoop &loop_;
+    HttpLimits limits_;
+    Handler handler_;
+    evhttp *http_ = nullptr;
+    evhttp_bound_socket *bound_ = nullptr;
+    ExchangeId lastId_ = 0;
+    std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
+};
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/node/ownertask.h
@@ -0,0 +1,83 @@
+// The owner's task: admits requests to the endpoints that this router owns and
+// runs them there.
+//
+// Whether a request may be sent is checked twice: when it is admitted, and once
+// more right before its first byte, since it may have waited in between.
+
+#ifndef BAMBOOGAP_NODE_OWNERTASK_H
+#define BAMBOOGAP_NODE_OWNERTASK_H
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "node/endpointcall.h"
+#include "node/forward.h"
+#include "node/membertask.h"
+#include "node/metrics.h"
+#include "routing/admission.h"
+#include "routing/affinity.h"
+#include "routing/eventstream.h"
+#include "routing/loadboard.h"
+
+namespace bamboogap {
+
+class OwnerTask
+{
+public:
+    OwnerTask(EventLoop &loop, const Settings &settings, MemberTask &members,
+              ControlClient &control, Metrics &metrics);
+
+    void start();
+
+    // Follows a heartbeat's reply: endpoints, loads and ownership.
+    void onNews(const MemberNews &news, const ReportedLoads &reported);
+    std::vector<OwnLoad> loads();
+
+    // Runs a request on an owned endpoint, or tells why not. Dropping the
+    // promise cancels the request.
+    kj::Promise<ForwardOutcome> forward(ForwardCall call, wire::AnswerSink::Client sink);
+
+    // A chat whose first choice is owned here ran elsewhere; empty forgets it.
+    void chatMoved(ChatKey chat, std::string_view home, std::string_view endpoint);
+
+    const LoadBoard &board() const { return board_; }
+    const Admission &admission() const { return admission_; }
+    size_t rememberedChats() const { return affinity_.size(); }
+    size_t runningCount() const { return runs_.size(); }
+
+private:
+    struct Run;
+    using RunId = uint64_t;
+
+    std::optional<std::string> obstacleTo(std::string_view endpoint);
+    ForwardOutcome refusal(const Run &run, const Admitted &refused) const;
+    std::optional<std::string> placeOf(const ForwardCall &call);
+    kj::Promise<ForwardOutcome> admit(std::shared_ptr<Run> run);
+    kj::Promise<ForwardOutcome> execute(std::shared_ptr<Run> run);
+    kj::Promise<EndpointOutcome> callOnce(std::shared_ptr<Run> run, bool resume);
+    kj::Promise<void> onPart(Run &run, std::string_view data);
+    kj::Promise<ForwardOutcome> conclude(std::shared_ptr<Run> run, EndpointOutcome outcome);
+    kj::Promise<void> handOver(std::shared_ptr<Run> run);
+    void finish(Run &run, const FinishReport &report);
+    void report(const std::vector<Fingerprint> &struck, const KnownEndpoint &endpoint);
+    void advance();
+    void scheduleExpiry();
+
+    EventLoop &loop_;
+    const Settings &settings_;
+    MemberTask &members_;
+    ControlClient &control_;
+    Metrics &metrics_;
+    LoadBoard board_;
+    Admission admission_;
+    AffinityTable affinity_;
+    std::map<EndpointKey, std::string> endpointNames_;
+    std::map<RunId, std::shared_ptr<Run>> runs_;
+    RunId lastRun_ = 0;
+    Instant expiryAt_ = Instant::max();
+};
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/node/settings.h
@@ -0,0 +1,91 @@
+// The settings of a node: a YAML file parsed into aggregates.
+//
+// Parsing checks everything and gives all errors at once, each with the file,
+// the line, the key and the remedy.
+
+#ifndef BAMBOOGAP_NODE_SETTINGS_H
+#define BAMBOOGAP_NODE_SETTINGS_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "control/raft.h"
+#include "control/state.h"
+#include "fleet/coordinator.h"
+#include "routing/admission.h"
+#include "routing/placement.h"
+#include "routing/retrybudget.h"
+
+namespace bamboogap {
+
+struct ListenSettings
+{
+    std::string callers; // chats and calls of plain services
+    std::string endpoints; // announcements
+    std::string operators; // operators and the platform's probes
+    std::string peers; // other nodes of the fleet
+};
+
+struct HttpLimits
+{
+    size_t maxHeaderBytes = 16 << 10;
+    size_t maxBodyBytes = 4 << 20;
+    Duration slowSender = std::chrono::seconds(20); // a request must be whole by then
+    Duration slowReader = std::chrono::seconds(60); // an answer must make progress by then
+};
+
+struct EndpointLimits
+{
+    Duration connect = std::chrono::seconds(2);
+    Duration silence = std::chrono::seconds(120); // between two parts of an answer
+    size_t maxAnswerBytes = 16 << 20; // of an answer that is not streamed
+};
+
+struct RoutingSettings
+{
+    double loadMultiple = 1.25;
+    PlacementSettings placement;
+    AdmissionSettings admission;
+    RetryBudgetSettings retries;
+    size_t rememberedChats = 46000;
+};
+
+struct Settings
+{
+    std::string name;
+    std::string dataCentre;
+    std::optional<std::string> dataFolder; // with it the node is a control replica
+    ListenSettings listen;
+    std::string fleetKey;
+    std::vector<std::string> controlReplicas; // peer addresses
+    Duration heartbeat = std::chrono::milliseconds(500);
+    RaftTiming raft;
+    CoordinatorSettings coordinator;
+    StateLimits state;
+    size_t snapshotEvery = 2000;
+    RoutingSettings routing;
+    HttpLimits http;
+    EndpointLimits endpoint;
+    Duration stopWithin = std::chrono::minutes(10); // streams may go on this long
+    Duration stopNotice = std::chrono::seconds(2); // readyz fails this long first
+    LogForm logForm = LogForm::KeyValue;
+    LogLevel logLevel = LogLevel::Info;
+};
+
+using SettingsErrors = std::vector<Error>;
+
+// Parses the text of a settings file; `file` is its name for the errors.
+tl::expected<Settings, SettingsErrors> parseSettings(std::string_view text,
+                                                     const std::string &file);
+
+// Reads and parses a file.
+tl::expected<Settings, SettingsErrors> loadSettings(const std::string &file);
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/node/wire.capnp
@@ -0,0 +1,218 @@
+# Messages and calls between the processes of a fleet.
+
+@0xc2a7d1f04b6e9385;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("bamboogap::wire");
+
+# ---- The control group's log -------------------------------------------------
+
+struct Member {
+  id @0 :UInt64;
+  name @1 :Text;
+  address @2 :Text;
+  voter @3 :Bool;
+}
+
+struct LogEntry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  kind @2 :UInt8;
+  data @3 :Data;
+}
+
+struct Snapshot {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  members @2 :List(Member);
+  data @3 :Data;
+}
+
+struct RaftMessage {
+  kind @0 :UInt8;
+  from @1 :UInt64;
+  to @2 :UInt64;
+  term @3 :UInt64;
+  index @4 :UInt64;
+  logTerm @5 :UInt64;
+  commit @6 :UInt64;
+  reject @7 :Bool;
+  transfer @8 :Bool;
+  round @9 :UInt64;
+  entries @10 :List(LogEntry);
+  snapshot @11 :Snapshot;
+}
+
+# ---- Membership of routers ---------------------------------------------------
+
+struct RouterInfo {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  address @3 :Text;
+}
+
+struct HeardEndpoint {
+  key @0 :UInt64;
+  digest @1 :UInt64;
+  ageMillis @2 :UInt32;
+  announcement @3 :Data;  # CBOR; empty if the leader knows the digest
+}
+
+struct OwnLoad {
+  key @0 :UInt64;
+  running @1 :UInt16;
+  rampLimit @2 :UInt16;
+}
+
+struct Heartbeat {
+  router @0 :RouterInfo;
+  sequence @1 :UInt64;
+  knownEpoch @2 :UInt64;
+  knownRevision @3 :UInt64;
+  knownSuspects @4 :UInt64;
+  leaderTerm @5 :UInt64;
+  registerTerm @6 :UInt64;
+  registerVersion @7 :UInt64;
+  leaving @8 :Bool;
+  heard @9 :List(HeardEndpoint);
+  loads @10 :List(OwnLoad);
+}
+
+struct View {
+  epoch @0 :UInt64;
+  routers @1 :List(RouterInfo);
+}
+
+struct SuspectChange {
+  fingerprint @0 :UInt64;
+  standing @1 :UInt8;
+}
+
+struct RegisterEntry {
+  slot @0 :UInt16;
+  announcement @1 :Data;  # CBOR
+}
+
+struct HeartbeatReply {
+  sequence @0 :UInt64;
+  term @1 :UInt64;
+  granted @2 :Bool;
+  leaseMicros @3 :UInt32;
+  view @4 :View;  # null if the router knows it
+  activeEpoch @5 :UInt64;
+  lists @6 :Data;  # CBOR; empty if the router knows them
+  suspectsVersion @7 :UInt64;
+  hasSuspects @8 :Bool;
+  suspects @9 :List(SuspectChange);
+  registerReady @10 :Bool;
+  registerTerm @11 :UInt64;
+  registerVersion @12 :UInt64;
+  registerFull @13 :Bool;
+  changed @14 :List(RegisterEntry);
+  removed @15 :List(UInt16);
+  running @16 :List(UInt16);  # by slot
+  rampLimits @17 :List(UInt16);  # by slot
+}
+
+# ---- Requests between the entry router and an endpoint's owner ----------------
+
+enum ForwardKind {
+  chat @0;
+  service @1;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct ForwardRequest {
+  id @0 :UInt64;
+  kind @1 :ForwardKind;
+  endpoint @2 :Text;  # the one wanted
+  isHome @3 :Bool;  # it is the chat's first choice
+  chat @4 :UInt64;
+  workspace @5 :Text;
+  share @6 :UInt32;
+  priority @7 :UInt8;
+  startWithinMicros @8 :Int64;
+  fingerprint @9 :UInt64;
+  mayWait @10 :Bool;
+  model @11 :Text;
+  adapter @12 :Text;
+  version @13 :Text;
+  service @14 :Text;
+  method @15 :Text;
+  path @16 :Text;
+  headers @17 :List(Header);
+  body @18 :Data;
+  stream @19 :Bool;
+}
+
+enum ForwardResult {
+  complete @0;
+  notRun @1;  # not one byte was sent to an endpoint
+  failed @2;  # it was sent, and may have run
+}
+
+struct Problem {
+  kind @0 :Text;
+  message @1 :Text;
+  remedy @2 :Text;
+}
+
+struct ForwardOutcome {
+  result @0 :ForwardResult;
+  endpoint @1 :Text;  # where it ran
+  problem @2 :Problem;
+  retryAfterMicros @3 :Int64;
+  movedTo @4 :Text;  # with notRun: where the chat went before
+  crashed @5 :Bool;  # the endpoint broke off under it
+  waitedMicros @6 :Int64;
+}
+
+interface AnswerSink {
+  head @0 (status :UInt16, contentType :Text) -> ();
+  chunk @1 (data :Data) -> stream;
+  end @2 () -> ();  # answered once every chunk was taken
+}
+
+struct LeaderHint {
+  known @0 :Bool;
+  address @1 :Text;
+}
+
+interface Node {
+  forward @0 (request :ForwardRequest, sink :AnswerSink) -> (outcome :ForwardOutcome);
+
+  # A chat whose first choice the callee owns ran elsewhere; empty forgets it.
+  chatMoved @1 (chat :UInt64, home :Text, endpoint :Text) -> ();
+
+  # Answered by the leader only; else `leader` tells where to ask.
+  heartbeat @2 (heartbeat :Heartbeat) -> (answered :Bool, reply :HeartbeatReply,
+                                          leader :LeaderHint);
+
+  # Commits a command; the answer is CBOR of control/state.h's CommandAnswer.
+  command @3 (command :Data) -> (answered :Bool, answer :Data, leader :LeaderHint,
+                                 problem :Problem);
+
+  raft @4 (message :RaftMessage, fromAddress :Text) -> ();
+
+  # Asks the leader to take a replica into the control group.
+  join @5 (id :UInt64, name :Text, address :Text) -> (answered :Bool, leader :LeaderHint);
+
+  # Tells which replica runs here and whether it belongs to a group.
+  identify @6 () -> (hasReplica :Bool, id :UInt64, inGroup :Bool);
+
+  # JSON for operators, of the leader.
+  status @7 () -> (answered :Bool, status :Text, leader :LeaderHint);
+
+  # Takes a replica out of the control group by its router's name.
+  removeReplica @8 (name :Text) -> (answered :Bool, leader :LeaderHint, problem :Problem);
+}
+
+# What a connection starts with: only a peer that knows the fleet's key gets on.
+interface Gate {
+  enter @0 (key :Text) -> (node :Node);
+}
