Proofs of the control group, calls and ownership by stateful fuzzing

Cause: the promises on calls that must not be repeated, on leases and on the operators' lists rested on code that nothing had tried to break.

Change: a disk that loses what was not synced, a control group over a mailbox that loses, doubles, delays and crosses, and a fleet of members and leaders with drifting clocks; RapidCheck oracles for call records, lists, the log store and the register.

A repair was reported as complete before its membership change was committed; the status now says whether it is settled.

--- a/control/calls.cc
+++ b/control/calls.cc
@@ -3,12 +3,15 @@
 #include "control/calls.h"
 
 #include <algorithm>
-#include <vector>
+
+#include "base/hash.h"
 
 namespace bamboogap {
 
 namespace {
 
+constexpr size_t kEndedAttemptsKept = 16;
+
 StartDecision decisionFor(CallPhase phase)
 {
     switch (phase) {
@@ -51,11 +54,11 @@
     Record &record = found->second;
     if (record.contentHash != contentHash)
         return { StartDecision::KeyReused, {} };
-    const bool sameAttempt = record.attempt == attempt;
-    if (record.phase == CallPhase::Started && sameAttempt)
+    if (record.phase == CallPhase::Started && record.attempt == attempt)
         return { StartDecision::Go, {} };
     if (record.phase == CallPhase::NotRun) {
-        if (sameAttempt)
+        const auto &ended = record.endedAttempts;
+        if (std::find(ended.begin(), ended.end(), hashBytes(attempt)) != ended.end())
             return { StartDecision::Superseded, {} };
         enter(name, record, CallPhase::Started, nowMillis);
         record.attempt = attempt;
@@ -87,6 +90,10 @@
     if (!record || record->phase != CallPhase::Started)
         return false;
     enter(name, *record, CallPhase::NotRun, nowMillis);
+    auto &ended = record->endedAttempts;
+    ended.push_back(hashBytes(attempt));
+    if (ended.size() > kEndedAttemptsKept)
+        ended.erase(ended.begin());
     return true;
 }
 
@@ -170,7 +177,8 @@
         saved.push_back({ name.workspace, name.key, record.contentHash, record.attempt,
                           record.owner.router, record.owner.incarnation,
                           static_cast<int>(record.phase), record.sinceMillis, record.reply.status,
-                          record.reply.contentType, nlohmann::json::binary(std::move(body)) });
+                          record.reply.contentType, nlohmann::json::binary(std::move(body)),
+                          record.endedAttempts });
     }
     return saved;
 }
@@ -189,6 +197,7 @@
         const auto &body = item.at(10).get_binary();
         record.reply = { item.at(8).get<int>(), item.at(9).get<std::string>(),
                          std::string(body.begin(), body.end()) };
+        record.endedAttempts = item.at(11).get<std::vector<uint64_t>>();
         loaded.keptBytes_ += body.size();
         loaded.due_.insert({ loaded.dueMillis(record), name });
     }
--- a/control/calls.h
+++ b/control/calls.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -121,6 +122,9 @@
         uint64_t contentHash = 0;
         std::string attempt;
         AttemptOwner owner;
+        // Hashes of the attempts that ended without running: a start of theirs
+        // that arrives late must not take the record. Of many, the newest.
+        std::vector<uint64_t> endedAttempts;
         CallPhase phase = CallPhase::Started;
         int64_t sinceMillis = 0; // when the phase began
         KeptReply reply;
--- a/control/raft.h
+++ b/control/raft.h
@@ -201,6 +201,9 @@
     LogIndex lastIndex() const { return snapshotIndex_ + entries_.size(); }
     LogIndex snapshotIndex() const { return snapshotIndex_; }
     const Membership &membership() const { return memberships_.rbegin()->second; }
+    // False while a membership change is on its way: a repair is complete only
+    // once it is committed.
+    bool membershipCommitted() const { return memberships_.rbegin()->first <= commit_; }
     // Highest index that a member is known to hold; 0 unless leading.
     LogIndex matchIndex(ReplicaId member) const;
     size_t entryCount() const { return entries_.size(); }
--- /dev/null
+++ b/control/testing/logstore_test.cc
@@ -0,0 +1,204 @@
+// The log store against a disk that loses, tears, damages and fills up.
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "control/logstore.h"
+#include "control/testing/fakedisk.h"
+
+namespace bamboogap {
+namespace {
+
+LogEntry command(LogIndex index, Term term, std::string data)
+{
+    return { index, term, EntryKind::Command, std::move(data) };
+}
+
+RaftOutput outputOf(std::vector<LogEntry> entries, std::optional<HardState> state = std::nullopt)
+{
+    RaftOutput output;
+    output.entries = std::move(entries);
+    output.hardState = state;
+    return output;
+}
+
+TEST_CASE("a fresh folder gets an identity that stays")
+{
+    FakeDisk disk;
+    LogStore first(disk.disk());
+    const auto opened = first.open(77);
+    REQUIRE(opened);
+    CHECK(opened->fresh);
+    CHECK(opened->id == 77);
+    LogStore second(disk.disk());
+    const auto again = second.open(88);
+    REQUIRE(again);
+    CHECK_FALSE(again->fresh);
+    CHECK(again->id == 77);
+}
+
+TEST_CASE("what was stored is read back, with truncated suffixes gone")
+{
+    FakeDisk disk;
+    LogStore store(disk.disk());
+    REQUIRE(store.open(1));
+    REQUIRE(store.store(outputOf({ command(1, 1, "a"), command(2, 1, "b"), command(3, 1, "c") },
+                                 HardState { 1, 9 })));
+    REQUIRE(store.store(outputOf({ command(2, 2, "B") }, HardState { 2, 8 })));
+    LogStore again(disk.disk());
+    const auto opened = again.open(1);
+    REQUIRE(opened);
+    CHECK(opened->stored.hardState == HardState { 2, 8 });
+    REQUIRE(opened->stored.entries.size() == 2);
+    CHECK(opened->stored.entries[1] == command(2, 2, "B"));
+}
+
+TEST_CASE("a snapshot replaces the log and the older files go")
+{
+    FakeDisk disk;
+    LogStore store(disk.disk());
+    REQUIRE(store.open(1));
+    REQUIRE(store.store(outputOf({ command(1, 1, "a"), command(2, 1, "b") }, HardState { 1, 1 })));
+    Snapshot snapshot;
+    snapshot.index = 1;
+    snapshot.term = 1;
+    snapshot.data = "state";
+    REQUIRE(store.storeSnapshot(snapshot, { command(2, 1, "b") }));
+    CHECK(disk.files().size() == 3);
+    LogStore again(disk.disk());
+    const auto opened = again.open(1);
+    REQUIRE(opened);
+    CHECK(opened->stored.snapshot.data == "state");
+    CHECK(opened->stored.hardState == HardState { 1, 1 });
+    REQUIRE(opened->stored.entries.size() == 1);
+}
+
+TEST_CASE("a torn tail is cut, whatever its length")
+{
+    for (size_t kept = 0; kept < 40; ++kept) {
+        FakeDisk disk;
+        LogStore store(disk.disk());
+        REQUIRE(store.open(1));
+        REQUIRE(store.store(outputOf({ command(1, 1, "first") })));
+        auto &file = *disk.files().at("log-1");
+        const size_t synced = file.bytes.size();
+        REQUIRE(store.store(outputOf({ command(2, 1, "second") })));
+        file.bytes.resize(std::min(file.bytes.size() - 1, synced + kept));
+        LogStore again(disk.disk());
+        const auto opened = again.open(1);
+        REQUIRE(opened);
+        CHECK(opened->stored.entries.size() == 1);
+        CHECK(file.bytes.size() == synced);
+    }
+}
+
+TEST_CASE("damage of what was acknowledged is an error that names the remedy", "[damage]")
+{
+    FakeDisk whole;
+    LogStore store(whole.disk());
+    REQUIRE(store.open(1));
+    for (LogIndex index = 1; index <= 5; ++index)
+        REQUIRE(store.store(outputOf({ command(index, 1, "entry " + std::to_string(index)) })));
+    const std::string bytes = whole.files().at("log-1")->bytes;
+    const size_t lastRecord = bytes.rfind("entry 5") - 42;
+    for (size_t place = 0; place < lastRecord; ++place) {
+        whole.files().at("log-1")->bytes = bytes;
+        whole.files().at("log-1")->bytes[place] ^= 0x40;
+        LogStore again(whole.disk());
+        const auto opened = again.open(1);
+        REQUIRE_FALSE(opened);
+        CHECK(opened.error().kind == ErrorKind::StorageDamaged);
+        CHECK_FALSE(opened.error().remedy.empty());
+    }
+}
+
+TEST_CASE("after a failed sync nothing is stored any more")
+{
+    FakeDisk disk;
+    LogStore store(disk.disk());
+    REQUIRE(store.open(1));
+    disk.failSyncs = true;
+    CHECK_FALSE(store.store(outputOf({ command(1, 1, "a") })));
+    disk.failSyncs = false;
+    const auto later = store.store(outputOf({ command(1, 1, "a") }));
+    REQUIRE_FALSE(later);
+    CHECK(later.error().kind == ErrorKind::StorageFailed);
+}
+
+TEST_CASE("a full disk fails the write and keeps what was acknowledged")
+{
+    FakeDisk disk;
+    LogStore store(disk.disk());
+    REQUIRE(store.open(1));
+    REQUIRE(store.store(outputOf({ command(1, 1, "kept") })));
+    disk.bytesLeft = 20;
+    CHECK_FALSE(store.store(outputOf({ command(2, 1, "does not fit") })));
+    disk.bytesLeft = SIZE_MAX;
+    LogStore again(disk.disk());
+    const auto opened = again.open(1);
+    REQUIRE(opened);
+    REQUIRE(opened->stored.entries.size() == 1);
+    CHECK(opened->stored.entries[0].data == "kept");
+}
+
+// Random writes, snapshots and crashes against a plain list of what was
+// acknowledged: all of it must be there after each crash.
+TEST_CASE("everything acknowledged survives crashes", "[fuzz]")
+{
+    rc::prop("acknowledged entries survive", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        FakeDisk disk;
+        auto store = std::make_unique<LogStore>(disk.disk());
+        RC_ASSERT(store->open(5).has_value());
+        std::vector<LogEntry> oracle; // acknowledged, by index from 1
+        HardState oracleState;
+        LogIndex snapshotIndex = 0;
+        for (int step = 0; step < 60; ++step) {
+            const auto choice = random() % 10;
+            if (choice < 6) {
+                const LogIndex from
+                        = snapshotIndex + 1 + random() % (oracle.size() - snapshotIndex + 1);
+                std::vector<LogEntry> entries;
+                for (LogIndex index = from; index < from + 1 + random() % 3; ++index)
+                    entries.push_back(command(index, step + 1, std::string(random() % 50, 'x')));
+                const HardState state { static_cast<Term>(step + 1), random() % 3 };
+                RC_ASSERT(store->store(outputOf(entries, state)).has_value());
+                oracle.resize(from - 1);
+                oracle.insert(oracle.end(), entries.begin(), entries.end());
+                oracleState = state;
+            } else if (choice < 8 && oracle.size() > snapshotIndex) {
+                snapshotIndex += 1 + random() % (oracle.size() - snapshotIndex);
+                Snapshot snapshot;
+                snapshot.index = snapshotIndex;
+                snapshot.term = oracle[snapshotIndex - 1].term;
+                RC_ASSERT(store->storeSnapshot(snapshot,
+                                               { oracle.begin() + snapshotIndex, oracle.end() })
+                                  .has_value());
+            } else {
+                // Half of the crashes come in the middle of a write.
+                if (random() % 2 == 0) {
+                    disk.bytesLeft = random() % 60;
+                    (void)store->store(outputOf({ command(oracle.size() + 1, step + 1, "lost") }));
+                    disk.bytesLeft = SIZE_MAX;
+                }
+                disk.crash(random);
+                store = std::make_unique<LogStore>(disk.disk());
+                const auto opened = store->open(6);
+                RC_ASSERT(opened.has_value());
+                RC_ASSERT(opened->id == 5U);
+                RC_ASSERT(opened->stored.snapshot.index == snapshotIndex);
+                RC_ASSERT(opened->stored.hardState.term >= oracleState.term);
+                // An unacknowledged entry may have survived behind the others.
+                const auto &entries = opened->stored.entries;
+                RC_ASSERT(entries.size() >= oracle.size() - snapshotIndex);
+                for (size_t i = 0; i + snapshotIndex < oracle.size(); ++i)
+                    RC_ASSERT(entries[i] == oracle[i + snapshotIndex]);
+                oracle.resize(snapshotIndex);
+                oracle.insert(oracle.end(), entries.begin(), entries.end());
+            }
+        }
+    });
+}
+
+} // namespace
+} // namespace bamboogap
--- /dev/null
+++ b/control/testing/raft_test.cc
@@ -0,0 +1,283 @@
+// The control group under lost, doubled, late and crossed messages, crashes,
+// lost disks, cuts, frozen replicas and clocks that drift.
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "control/testing/cluster.h"
+
+namespace bamboogap {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Command dataCentreOut(int number, Revision base)
+{
+    Change change;
+    change.id = "change-" + std::to_string(number);
+    change.base = base;
+    change.kind = number % 2 == 0 ? ChangeKind::DataCentreOut : ChangeKind::EndpointOut;
+    change.name = "name-" + std::to_string(number);
+    return ChangeListsCommand { change };
+}
+
+// The replica on this node's new disk votes, the one before it is gone, and the
+// change is committed.
+bool repaired(const Cluster &cluster, size_t i)
+{
+    const auto leads = cluster.leader();
+    if (!leads)
+        return false;
+    const Raft &raft = *cluster.nodes[*leads]->raft;
+    const Replica *added = raft.membership().find(cluster.nodes[i]->raft->id());
+    return added && added->voter && raft.membership().members.size() == cluster.nodes.size()
+            && raft.membershipCommitted();
+}
+
+TEST_CASE("three replicas form a group and agree", "[raft]")
+{
+    Cluster cluster(3, 1);
+    REQUIRE(cluster.form());
+    const auto leads = *cluster.leader();
+    REQUIRE(cluster.propose(leads, dataCentreOut(0, 0)));
+    cluster.run(seconds(1));
+    for (const auto &node : cluster.nodes)
+        CHECK(node->state.lists().revision == 1);
+}
+
+TEST_CASE("a leader that is cut off speaks no more before another one does", "[raft][promise-9]")
+{
+    Cluster cluster(3, 2);
+    REQUIRE(cluster.form());
+    const auto old = *cluster.leader();
+    cluster.isolate(old);
+    bool both = false;
+    cluster.checks.push_back([&] {
+        int speaking = 0;
+        for (size_t i = 0; i < cluster.nodes.size(); ++i)
+            speaking += cluster.speaks(i);
+        both = both || speaking > 1;
+    });
+    REQUIRE(cluster.runUntil([&] { return cluster.leader() && *cluster.leader() != old; },
+                             seconds(10)));
+    CHECK_FALSE(both);
+    CHECK_FALSE(cluster.speaks(old));
+}
+
+TEST_CASE("a replica that was cut off does not disturb the leader on its return", "[raft]")
+{
+    Cluster cluster(3, 3);
+    REQUIRE(cluster.form());
+    const auto leads = *cluster.leader();
+    const Term term = cluster.nodes[leads]->raft->term();
+    const size_t other = (leads + 1) % 3;
+    cluster.isolate(other);
+    cluster.run(seconds(10));
+    cluster.heal();
+    cluster.run(seconds(3));
+    CHECK(cluster.leader() == leads);
+    CHECK(cluster.nodes[leads]->raft->term() == term);
+}
+
+TEST_CASE("a lost disk comes back as a new replica, and another loss right after loses nothing",
+          "[raft][promise-9]")
+{
+    for (uint64_t seed = 10; seed < 30; ++seed) {
+        Cluster cluster(3, seed);
+        REQUIRE(cluster.form());
+        Revision accepted = 0;
+        const auto accept = [&](int count) {
+            for (int i = 0; i < count; ++i) {
+                REQUIRE(cluster.runUntil([&] { return cluster.leader().has_value(); },
+                                         seconds(20)));
+                const auto leads = *cluster.leader();
+                REQUIRE(cluster.propose(leads,
+                                        dataCentreOut(static_cast<int>(accepted), accepted)));
+                REQUIRE(cluster.runUntil(
+                        [&] { return cluster.nodes[leads]->state.lists().revision > accepted; },
+                        seconds(5)));
+                ++accepted;
+            }
+        };
+        accept(70);
+        for (int round = 0; round < 3; ++round) {
+            const size_t lost = cluster.random()() % 3;
+            const ReplicaId before = cluster.nodes[lost]->raft->id();
+            cluster.kill(lost);
+            cluster.nodes[lost]->disk.wipe();
+            accept(1);
+            cluster.start(lost);
+            REQUIRE(cluster.nodes[lost]->raft->id() != before);
+            REQUIRE(cluster.runUntil([&] { return repaired(cluster, lost); }, seconds(20)));
+            // Another one is lost right away, disk and all.
+            const size_t second = (lost + 1 + cluster.random()() % 2) % 3;
+            cluster.kill(second);
+            cluster.nodes[second]->disk.wipe();
+            REQUIRE(cluster.runUntil([&] { return cluster.leader().has_value(); }, seconds(20)));
+            CHECK(cluster.nodes[*cluster.leader()]->state.lists().revision == accepted);
+            cluster.start(second);
+            REQUIRE(cluster.runUntil([&] { return repaired(cluster, second); }, seconds(20)));
+        }
+        CHECK_FALSE(cluster.diverged);
+    }
+}
+
+TEST_CASE("a full or failing disk stops the replica, not the group", "[raft]")
+{
+    Cluster cluster(3, 5);
+    REQUIRE(cluster.form());
+    const auto leads = *cluster.leader();
+    cluster.nodes[leads]->disk.failSyncs = true;
+    (void)cluster.propose(leads, dataCentreOut(0, 0));
+    CHECK_FALSE(cluster.nodes[leads]->raft);
+    REQUIRE(cluster.runUntil([&] { return cluster.leader().has_value(); }, seconds(10)));
+    CHECK(*cluster.leader() != leads);
+}
+
+TEST_CASE("leadership is handed over without waiting for an election", "[raft]")
+{
+    Cluster cluster(3, 6);
+    REQUIRE(cluster.form());
+    const auto leads = *cluster.leader();
+    cluster.nodes[leads]->raft->transferLeadership(cluster.localNow(*cluster.nodes[leads]));
+    CHECK_FALSE(cluster.speaks(leads));
+    const Instant before = cluster.now;
+    REQUIRE(cluster.runUntil([&] { return cluster.leader() && *cluster.leader() != leads; },
+                             seconds(5)));
+    CHECK(cluster.now - before < cluster.timing.electionMin);
+}
+
+// One random history: faults of every kind while changes are proposed. What was
+// acknowledged must stay, in order, on every replica; nobody may speak beside
+// another; the state must be the same everywhere in the end.
+void randomHistory(uint64_t seed)
+{
+    const size_t size = seed % 2 == 0 ? 3 : 5;
+    Cluster cluster(size, seed);
+    RC_ASSERT(cluster.form());
+    auto &random = cluster.random();
+    cluster.faults.lose = 0.05;
+    cluster.faults.twice = 0.05;
+    cluster.faults.maxDelay = milliseconds(60);
+    struct Proposal
+    {
+        size_t node;
+        LogIndex index;
+        Term term;
+        int number;
+    };
+    std::vector<Proposal> open;
+    std::map<int, Revision> acknowledged; // change number to revision
+    int number = 0;
+    cluster.checks.push_back([&] {
+        int speaking = 0;
+        for (size_t i = 0; i < size; ++i)
+            speaking += cluster.speaks(i);
+        RC_ASSERT(speaking <= 1);
+        RC_ASSERT(!cluster.diverged);
+        // A leader that may speak knows everything that was acknowledged.
+        if (const auto leads = cluster.leader()) {
+            const Revision newest = acknowledged.empty() ? 0 : acknowledged.rbegin()->second;
+            RC_ASSERT(cluster.nodes[*leads]->state.lists().revision >= newest);
+        }
+        for (auto item = open.begin(); item != open.end();) {
+            const auto &node = *cluster.nodes[item->node];
+            const auto answer = node.answers.find(item->index);
+            if (!node.raft || answer == node.answers.end()) {
+                ++item;
+                continue;
+            }
+            if (answer->second.first == item->term) {
+                const auto &change = std::get<ChangeAnswer>(answer->second.second);
+                if (change.accepted)
+                    acknowledged[item->number] = change.revision;
+            }
+            item = open.erase(item);
+        }
+    });
+    const auto isWhole = [&] {
+        for (size_t i = 0; i < size; ++i) {
+            if (!cluster.up(i) || !repaired(cluster, i))
+                return false;
+        }
+        return true;
+    };
+    for (int step = 0; step < 120; ++step) {
+        const size_t i = random() % size;
+        switch (random() % 12) {
+        case 0:
+            if (cluster.nodes[i]->raft) {
+                cluster.kill(i);
+                std::erase_if(open, [i](const Proposal &item) { return item.node == i; });
+            }
+            break;
+        case 1:
+        case 2:
+            if (!cluster.nodes[i]->raft)
+                cluster.start(i);
+            break;
+        case 3:
+            if (cluster.nodes[i]->raft)
+                cluster.nodes[i]->frozen = true;
+            break;
+        case 4:
+            if (cluster.nodes[i]->frozen)
+                cluster.thaw(i);
+            break;
+        case 5:
+            cluster.cut(i, random() % size);
+            break;
+        case 6:
+            cluster.isolate(i);
+            break;
+        case 7:
+            cluster.heal();
+            break;
+        case 8:
+            // A disk is lost only while the group is whole: a quorum of what was
+            // acknowledged has to remain.
+            if (isWhole() && random() % 3 == 0) {
+                cluster.kill(i);
+                cluster.nodes[i]->disk.wipe();
+                std::erase_if(open, [i](const Proposal &item) { return item.node == i; });
+                cluster.start(i);
+            }
+            break;
+        default:
+            break;
+        }
+        if (const auto leads = cluster.leader()) {
+            auto &node = *cluster.nodes[*leads];
+            const Term term = node.raft->term();
+            if (const auto index
+                = cluster.propose(*leads, dataCentreOut(number, node.state.lists().revision)))
+                open.push_back({ *leads, *index, term, number });
+            ++number;
+        }
+        cluster.run(milliseconds(20 + random() % 400));
+    }
+    // Everything heals; the replicas agree on all that was acknowledged.
+    cluster.heal();
+    cluster.faults = {};
+    for (size_t i = 0; i < size; ++i) {
+        if (!cluster.nodes[i]->raft)
+            cluster.start(i);
+        if (cluster.nodes[i]->frozen)
+            cluster.thaw(i);
+    }
+    RC_ASSERT(cluster.runUntil([&] { return cluster.leader().has_value(); }, seconds(30)));
+    cluster.run(seconds(5));
+    RC_ASSERT(cluster.leader().has_value());
+    const std::string state = cluster.nodes[*cluster.leader()]->state.save();
+    for (const auto &node : cluster.nodes)
+        RC_ASSERT(node->state.save() == state);
+}
+
+TEST_CASE("random histories of the control group", "[raft][fuzz][promise-9]")
+{
+    rc::prop("what was acknowledged stays", [](uint64_t seed) { randomHistory(seed); });
+}
+
+} // namespace
+} // namespace bamboogap
--- /dev/null
+++ b/fleet/testing/fleet_test.cc
@@ -0,0 +1,474 @@
+// Leases, views, ownership and the register: routers and leaders that see each
+// other through lost, late and crossed messages, freeze, restart and drift.
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <functional>
+
+#include "fleet/coordinator.h"
+#include "fleet/member.h"
+
+namespace bamboogap {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The bound of the brief and the letter: no new work this long after a data
+// centre was taken out or an endpoint said that it leaves.
+constexpr Duration kOutBound = seconds(5);
+
+Announcement engine(const std::string &id, const std::string &dataCentre)
+{
+    Announcement announcement;
+    announcement.id = id;
+    announcement.incarnation = 1;
+    announcement.sequence = 1;
+    announcement.dataCentre = dataCentre;
+    announcement.address = "127.0.0.1:1";
+    announcement.offers.push_back({ "m1", "", "" });
+    announcement.capacity = 8;
+    return announcement;
+}
+
+// A fleet whose control group is one committed state and one leader at a time.
+// (That there is one leader at a time is proved in control/testing/raft_test.)
+struct FleetSimulation
+{
+    struct RouterNode
+    {
+        std::unique_ptr<Member> member;
+        uint64_t incarnation = 1;
+        double rate = 1.0;
+        bool up = true;
+        bool frozen = false;
+        bool cut = false; // hears nothing, is not heard
+        Instant beatDue {};
+        std::vector<HeartbeatReply> heldWhileFrozen;
+        Revision highest = 0;
+    };
+
+    explicit FleetSimulation(uint64_t seed, size_t routers = 5, size_t endpoints = 9)
+        : random(seed)
+    {
+        settings.endpoints.silence = seconds(2);
+        settings.lostLoad = seconds(2);
+        for (size_t i = 0; i < routers; ++i) {
+            RouterNode node;
+            std::uniform_real_distribution<double> drift(1 - settings.maxDrift / 2,
+                                                         1 + settings.maxDrift / 2);
+            node.rate = drift(random);
+            nodes.push_back(std::move(node));
+            restart(i);
+        }
+        for (size_t i = 0; i < endpoints; ++i)
+            announced.push_back(engine("e" + std::to_string(i), "dc" + std::to_string(i % 3)));
+        newLeader();
+    }
+
+    Instant local(const RouterNode &node) const
+    {
+        const auto nanos = static_cast<Duration::rep>(
+                static_cast<double>(now.time_since_epoch().count()) * node.rate);
+        return Instant(Duration(nanos));
+    }
+
+    void newLeader()
+    {
+        ++term;
+        coordinator = std::make_unique<Coordinator>(settings, term, state.view(), now);
+        leaderUp = true;
+    }
+
+    void restart(size_t i)
+    {
+        RouterNode &node = nodes[i];
+        ++node.incarnation;
+        node.member = std::make_unique<Member>(
+                RouterInfo { "r" + std::to_string(i), node.incarnation,
+                             "dc" + std::to_string(i % 3), "10.0.0." + std::to_string(i) + ":1" });
+        node.up = true;
+        node.frozen = false;
+        node.highest = 0;
+        node.heldWhileFrozen.clear();
+    }
+
+    void later(std::function<void()> action)
+    {
+        std::uniform_real_distribution<double> chance(0, 1);
+        if (chance(random) < lose)
+            return;
+        const int copies = chance(random) < 0.05 ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy)
+            events.emplace(now + Duration(random() % (maxDelay.count() + 1)), action);
+    }
+
+    void beat(size_t i)
+    {
+        RouterNode &node = nodes[i];
+        const Heartbeat heartbeat = node.member->makeHeartbeat(local(node));
+        if (node.cut)
+            return;
+        later([this, i, heartbeat] {
+            if (!leaderUp)
+                return;
+            // The wire form is exercised by the process tests.
+            const HeartbeatReply reply = coordinator->heartbeat(heartbeat, state, now);
+            later([this, i, reply] { answer(i, reply); });
+        });
+    }
+
+    void answer(size_t i, const HeartbeatReply &reply)
+    {
+        RouterNode &node = nodes[i];
+        if (!node.up || node.cut)
+            return;
+        if (node.frozen) {
+            node.heldWhileFrozen.push_back(reply);
+            return;
+        }
+        const MemberNews news = node.member->receive(reply, local(node));
+        if (news.acknowledge)
+            node.beatDue = local(node);
+    }
+
+    void thaw(size_t i)
+    {
+        RouterNode &node = nodes[i];
+        node.frozen = false;
+        const auto held = std::move(node.heldWhileFrozen);
+        node.heldWhileFrozen.clear();
+        for (const HeartbeatReply &reply : held)
+            answer(i, reply);
+    }
+
+    void step()
+    {
+        now += milliseconds(20);
+        while (!events.empty() && events.begin()->first <= now) {
+            const auto action = events.begin()->second;
+            events.erase(events.begin());
+            action();
+        }
+        for (size_t i = 0; i < nodes.size(); ++i) {
+            RouterNode &node = nodes[i];
+            if (!node.up || node.frozen || local(node) < node.beatDue)
+                continue;
+            node.beatDue = local(node) + milliseconds(500);
+            beat(i);
+        }
+        // Endpoints announce to a random router that takes it.
+        for (const Announcement &announcement : announced) {
+            if (random() % 15 != 0)
+                continue;
+            RouterNode &node = nodes[random() % nodes.size()];
+            if (node.up && !node.frozen && !node.cut)
+                node.member->hear(announcement, local(node));
+        }
+        if (leaderUp) {
+            if (auto view = coordinator->tick(state, now, 0))
+                state.apply(*view);
+        }
+    }
+
+    // Routers that would send work to the endpoint now.
+    std::vector<size_t> owners(const std::string &endpoint)
+    {
+        std::vector<size_t> found;
+        for (size_t i = 0; i < nodes.size(); ++i) {
+            RouterNode &node = nodes[i];
+            if (node.up && !node.frozen && node.member->owns(endpoint, local(node))
+                && node.member->usable(endpoint))
+                found.push_back(i);
+        }
+        return found;
+    }
+
+    void run(Duration length, const std::function<void()> &check = nullptr)
+    {
+        const Instant end = now + length;
+        while (now < end) {
+            step();
+            if (check)
+                check();
+        }
+    }
+
+    void takeOut(const std::string &dataCentre)
+    {
+        Change change;
+        change.id = "change-" + std::to_string(state.lists().revision);
+        change.base = state.lists().revision;
+        change.kind = ChangeKind::DataCentreOut;
+        change.name = dataCentre;
+        state.apply(ChangeListsCommand { change });
+        outSince[dataCentre] = now;
+    }
+
+    void bringBack(const std::string &dataCentre)
+    {
+        Change change;
+        change.id = "change-" + std::to_string(state.lists().revision);
+        change.base = state.lists().revision;
+        change.kind = ChangeKind::DataCentreIn;
+        change.name = dataCentre;
+        state.apply(ChangeListsCommand { change });
+        outSince.erase(dataCentre);
+    }
+
+    // The promises, at one moment.
+    void check()
+    {
+        for (const Announcement &announcement : announced) {
+            const auto holding = owners(announcement.id);
+            RC_ASSERT(holding.size() <= 1);
+            const auto out = outSince.find(announcement.dataCentre);
+            if (out != outSince.end() && now - out->second > kOutBound)
+                RC_ASSERT(holding.empty());
+            const auto leaving = leavingSince.find(announcement.id);
+            if (leaving != leavingSince.end() && now - leaving->second > kOutBound)
+                RC_ASSERT(holding.empty());
+        }
+        for (RouterNode &node : nodes) {
+            if (!node.up)
+                continue;
+            const Revision revision = node.member->lists().revision;
+            RC_ASSERT(revision >= node.highest);
+            node.highest = revision;
+        }
+    }
+
+    std::mt19937_64 random;
+    CoordinatorSettings settings;
+    ControlState state;
+    std::unique_ptr<Coordinator> coordinator;
+    bool leaderUp = true;
+    uint64_t term = 0;
+    Instant now { seconds(1000) };
+    std::vector<RouterNode> nodes;
+    std::vector<Announcement> announced;
+    std::multimap<Instant, std::function<void()>> events;
+    double lose = 0;
+    Duration maxDelay = milliseconds(30);
+    std::map<std::string, Instant> outSince;
+    std::map<std::string, Instant> leavingSince;
+};
+
+TEST_CASE("routers join, and each endpoint gets one owner in its data centre", "[fleet]")
+{
+    FleetSimulation fleet(1);
+    fleet.run(seconds(8));
+    CHECK(fleet.state.view().routers.size() == 5);
+    for (const Announcement &announcement : fleet.announced) {
+        const auto owners = fleet.owners(announcement.id);
+        REQUIRE(owners.size() == 1);
+        CHECK("dc" + std::to_string(owners[0] % 3) == announcement.dataCentre);
+    }
+}
+
+TEST_CASE("a frozen owner sends nothing after it thaws", "[fleet][promise-3][promise-7]")
+{
+    FleetSimulation fleet(2);
+    fleet.run(seconds(8));
+    const std::string endpoint = fleet.announced[0].id;
+    const size_t owner = fleet.owners(endpoint).at(0);
+    fleet.nodes[owner].frozen = true;
+    fleet.run(seconds(10));
+    REQUIRE(fleet.owners(endpoint).size() == 1); // another one took over
+    fleet.nodes[owner].frozen = false; // before it has received anything
+    CHECK_FALSE(fleet.nodes[owner].member->owns(endpoint, fleet.local(fleet.nodes[owner])));
+}
+
+TEST_CASE("a data centre out gets nothing, though its owner is cut off", "[fleet][promise-3]")
+{
+    FleetSimulation fleet(3);
+    fleet.run(seconds(8));
+    const size_t owner = fleet.owners("e0").at(0);
+    fleet.nodes[owner].cut = true;
+    fleet.takeOut("dc0");
+    fleet.run(kOutBound);
+    fleet.run(seconds(20), [&] {
+        for (const Announcement &announcement : fleet.announced) {
+            if (announcement.dataCentre == "dc0")
+                REQUIRE(fleet.owners(announcement.id).empty());
+        }
+    });
+    fleet.bringBack("dc0");
+    fleet.run(seconds(5));
+    CHECK(fleet.owners("e0").size() == 1);
+}
+
+TEST_CASE("a leaving endpoint gets nothing after the bound", "[fleet][promise-7]")
+{
+    FleetSimulation fleet(4);
+    fleet.run(seconds(8));
+    REQUIRE(fleet.owners("e0").size() == 1);
+    fleet.announced[0].leaving = true;
+    ++fleet.announced[0].sequence;
+    fleet.run(kOutBound);
+    CHECK(fleet.owners("e0").empty());
+    // It comes back as a new incarnation.
+    fleet.announced[0].leaving = false;
+    ++fleet.announced[0].incarnation;
+    fleet.run(seconds(5));
+    CHECK(fleet.owners("e0").size() == 1);
+}
+
+TEST_CASE("a new leader moves no endpoint while an unknown router may hold a lease",
+          "[fleet][promise-3]")
+{
+    FleetSimulation fleet(5);
+    fleet.run(seconds(8));
+    fleet.newLeader();
+    CHECK(fleet.coordinator->activeEpoch(fleet.state, fleet.now) == 0);
+    fleet.run(fleet.settings.lease * 2);
+    CHECK(fleet.coordinator->activeEpoch(fleet.state, fleet.now) == fleet.state.view().epoch);
+}
+
+TEST_CASE("endpoints go on being served through a change of leader", "[fleet]")
+{
+    FleetSimulation fleet(6);
+    fleet.run(seconds(8));
+    fleet.leaderUp = false;
+    fleet.run(seconds(1));
+    fleet.newLeader();
+    fleet.run(seconds(5), [&] {
+        for (const Announcement &announcement : fleet.announced)
+            REQUIRE(fleet.owners(announcement.id).size() == 1);
+    });
+}
+
+TEST_CASE("a flapping endpoint is held down for longer each time", "[fleet]")
+{
+    RegisterSettings settings;
+    EndpointRegister endpoints(settings, 1);
+    Instant now { seconds(1000) };
+    Announcement announcement = engine("e", "dc");
+    std::vector<Duration> away;
+    for (int flap = 0; flap < 6; ++flap) {
+        ++announcement.incarnation;
+        const Instant back = now;
+        while (endpoints.entries().empty()) {
+            endpoints.hear({ endpointKey("e"), digestOf(announcement), 0, announcement }, now);
+            now += milliseconds(100);
+        }
+        away.push_back(now - back);
+        now += settings.silence + seconds(1);
+        endpoints.tick(now);
+        REQUIRE(endpoints.entries().empty());
+    }
+    CHECK(away[0] < seconds(1));
+    CHECK(away[1] < seconds(1));
+    CHECK(away[3] > away[2]);
+    CHECK(away[5] <= settings.holdDownMost + seconds(1));
+}
+
+TEST_CASE("late and older announcements do not bring an endpoint back", "[fleet][promise-7]")
+{
+    EndpointRegister endpoints({}, 1);
+    const Instant now { seconds(1000) };
+    Announcement older = engine("e", "dc");
+    Announcement leaving = older;
+    leaving.leaving = true;
+    leaving.sequence = 2;
+    endpoints.hear({ endpointKey("e"), digestOf(older), 0, older }, now);
+    endpoints.hear({ endpointKey("e"), digestOf(leaving), 0, leaving }, now);
+    endpoints.hear({ endpointKey("e"), digestOf(older), 0, older }, now);
+    REQUIRE(endpoints.entries().size() == 1);
+    CHECK(endpoints.entries().begin()->second.announcement.leaving);
+}
+
+TEST_CASE("register deltas give what a full register gives", "[fleet][fuzz]")
+{
+    rc::prop("deltas", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        EndpointRegister endpoints({}, 1);
+        Instant now { seconds(1000) };
+        std::map<Slot, RegisterEntry> copy;
+        uint64_t version = 0;
+        for (int i = 0; i < 200; ++i) {
+            now += milliseconds(random() % 1500);
+            Announcement announcement = engine("e" + std::to_string(random() % 6), "dc");
+            announcement.sequence = static_cast<uint64_t>(i);
+            endpoints.hear(
+                    { endpointKey(announcement.id), digestOf(announcement), 0, announcement }, now);
+            endpoints.tick(now);
+            if (random() % 3 != 0)
+                continue;
+            const RegisterDelta delta = endpoints.deltaSince(1, version);
+            if (delta.full)
+                copy.clear();
+            for (const Slot slot : delta.removed)
+                copy.erase(slot);
+            for (const RegisterEntry &entry : delta.changed)
+                copy[entry.slot] = entry;
+            version = delta.version;
+            RC_ASSERT(copy == endpoints.entries());
+        }
+    });
+}
+
+// Random histories of everything at once.
+TEST_CASE("random histories of the fleet", "[fleet][fuzz][promise-3][promise-7][promise-9]")
+{
+    rc::prop("one owner, nothing to what is out, nothing reverts", [](uint64_t seed) {
+        FleetSimulation fleet(seed);
+        fleet.run(seconds(6), [&] { fleet.check(); });
+        fleet.lose = 0.1;
+        auto &random = fleet.random;
+        for (int turn = 0; turn < 60; ++turn) {
+            const size_t i = random() % fleet.nodes.size();
+            auto &node = fleet.nodes[i];
+            const std::string dataCentre = "dc" + std::to_string(random() % 3);
+            switch (random() % 14) {
+            case 0:
+                node.up = false;
+                break;
+            case 1:
+            case 2:
+                if (!node.up)
+                    fleet.restart(i);
+                break;
+            case 3:
+                node.frozen = node.up;
+                break;
+            case 4:
+                if (node.frozen)
+                    fleet.thaw(i);
+                break;
+            case 5:
+                node.cut = true;
+                break;
+            case 6:
+            case 7:
+                node.cut = false;
+                break;
+            case 8:
+                fleet.leaderUp = false;
+                break;
+            case 9:
+                fleet.newLeader();
+                break;
+            case 10:
+                if (!fleet.outSince.count(dataCentre))
+                    fleet.takeOut(dataCentre);
+                break;
+            case 11:
+                if (fleet.outSince.count(dataCentre))
+                    fleet.bringBack(dataCentre);
+                break;
+            case 12:
+                node.member->leave();
+                break;
+            default:
+                fleet.maxDelay = milliseconds(5 + random() % 600);
+                break;
+            }
+            fleet.run(milliseconds(random() % 1500), [&] { fleet.check(); });
+        }
+    });
+}
+
+} // namespace
+} // namespace bamboogap
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -399,6 +399,7 @@
                            { "snapshot", raft_->snapshotIndex() },
                            { "replica_failed", failed_ },
                            { "replicas", members },
+                           { "replicas_settled", raft_->membershipCommitted() },
                            { "revision", state_.lists().revision },
                            { "lists", toJson(state_.lists()) },
                            { "epoch", state_.view().epoch },
--- a/node/daemon.cc
+++ b/node/daemon.cc
@@ -113,7 +113,7 @@
         logEvent(LogLevel::Info, "stopped", {});
     }
 
-    ~DaemonImpl() noexcept(false)
+    ~DaemonImpl() noexcept(false) override
     {
         for (event *signal : signals_)
             event_free(signal);
--- a/node/settings.cc
+++ b/node/settings.cc
@@ -123,7 +123,7 @@
 
     std::string address(const std::string &key)
     {
-        const std::string value = text(key, {}, true);
+        std::string value = text(key, {}, true);
         if (value.empty())
             return value;
         if (auto parsed = parseSocketAddress(value); !parsed)
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -210,6 +210,8 @@
 
     def voters(self):
         status = self.status()
+        if not status["replicas_settled"]:
+            return 0
         return sum(1 for replica in status["replicas"] if replica["voter"])
 
     def add_endpoint(self, name, data_centre, **options):
