--- a/control/state.cc
+++ b/control/state.cc
@@ -83,6 +83,11 @@
              { "now", command.nowMillis } };
 }
 
+json describe(const RetractCommand &command)
+{
+    return { { "op", "retract" }, { "crash", command.crash } };
+}
+
 json describe(const AbsolveCommand &command)
 {
     return { { "op", "absolve" },
@@ -135,6 +140,8 @@
                                value.at("crash").get<std::string>(),
                                value.at("now").get<int64_t>() };
     }
+    if (op == "retract")
+        return RetractCommand { value.at("crash").get<std::string>() };
     if (op == "absolve") {
         return AbsolveCommand { value.at("fingerprint").get<Fingerprint>(),
                                 value.at("release").get<bool>() };
@@ -224,6 +231,12 @@
     return Done { true };
 }
 
+CommandAnswer ControlState::perform(const RetractCommand &command)
+{
+    suspects_.retract(command.crash);
+    return Done { true };
+}
+
 CommandAnswer ControlState::perform(const AbsolveCommand &command)
 {
     if (command.release)
--- a/control/state.h
+++ b/control/state.h
@@ -68,13 +68,20 @@
     bool release = false; // lifts a quarantine too
 };
 
+// Takes back the strikes of a crash that was none.
+struct RetractCommand
+{
+    std::string crash;
+};
+
 struct ExpireCommand
 {
     int64_t nowMillis = 0;
 };
 
-using Command = std::variant<ChangeListsCommand, StartCallCommand, FinishCallCommand,
-                             SetViewCommand, StrikeCommand, AbsolveCommand, ExpireCommand>;
+using Command
+        = std::variant<ChangeListsCommand, StartCallCommand, FinishCallCommand, SetViewCommand,
+                       StrikeCommand, RetractCommand, AbsolveCommand, ExpireCommand>;
 
 struct Done
 {
@@ -117,6 +124,7 @@
     CommandAnswer perform(const FinishCallCommand &command);
     CommandAnswer perform(const SetViewCommand &command);
     CommandAnswer perform(const StrikeCommand &command);
+    CommandAnswer perform(const RetractCommand &command);
     CommandAnswer perform(const AbsolveCommand &command);
     CommandAnswer perform(const ExpireCommand &command);
 
--- a/control/suspects.cc
+++ b/control/suspects.cc
@@ -25,6 +25,17 @@
     ++version_;
 }
 
+void Suspects::retract(const std::string &crash)
+{
+    size_t taken = 0;
+    for (auto &[fingerprint, entry] : entries_)
+        taken += std::erase(entry.crashes, crash);
+    if (taken == 0)
+        return;
+    std::erase_if(entries_, [](const auto &item) { return item.second.crashes.empty(); });
+    ++version_;
+}
+
 void Suspects::absolve(Fingerprint fingerprint)
 {
     const auto found = entries_.find(fingerprint);
--- a/control/suspects.h
+++ b/control/suspects.h
@@ -4,7 +4,9 @@
 // crash. One strike makes a request suspect: it may run again, but at most one
 // suspect runs on an endpoint at a time, so that a second crash adds a second
 // strike to one suspect only. Two strikes of different crashes quarantine the
-// request: it is refused everywhere. A suspect that completes is absolved.
+// request: it is refused everywhere. A suspect that completes is absolved, and
+// the strikes of a crash that was none (the endpoint goes on under the same
+// incarnation) are taken back.
 
 #ifndef BAMBOOGAP_CONTROL_SUSPECTS_H
 #define BAMBOOGAP_CONTROL_SUSPECTS_H
@@ -46,6 +48,9 @@
     // Adds a strike; a second strike of the same crash counts once.
     void strike(Fingerprint fingerprint, const std::string &crash, int64_t nowMillis);
 
+    // Takes back every strike of a crash that turned out to be none.
+    void retract(const std::string &crash);
+
     // Clears a suspect that completed. Quarantine is not lifted by it.
     void absolve(Fingerprint fingerprint);
 
--- a/control/testing/lists_test.cc
+++ b/control/testing/lists_test.cc
@@ -163,6 +163,7 @@
                             100 },
         SetViewCommand { 4, { { "r", 1, "dc", "1.2.3.4:5" } }, { { "r", 0 } }, 5 },
         StrikeCommand { { 1, 2 }, "e#1", 6 },
+        RetractCommand { "e#1" },
         AbsolveCommand { 1, true },
         ExpireCommand { 7 },
     };
@@ -194,6 +195,12 @@
     CHECK(loaded.version() == suspects.version());
     CHECK(suspects.release(1));
     CHECK(suspects.standingOf(1) == Standing::Clear);
+    suspects.strike(4, "e1#3", 0);
+    suspects.strike(4, "e2#3", 0);
+    suspects.retract("e2#3");
+    CHECK(suspects.standingOf(4) == Standing::Suspect);
+    suspects.retract("e1#3");
+    CHECK(suspects.standingOf(4) == Standing::Clear);
     suspects.strike(3, "e1#2", 0);
     suspects.expire(SuspectLimits().suspectMillis);
     CHECK(suspects.standingOf(3) == Standing::Clear);
--- a/fleet/coordinator.cc
+++ b/fleet/coordinator.cc
@@ -32,11 +32,14 @@
         return reply;
     router->ackedEpoch = heartbeat.knownEpoch;
     router->ackedRevision = heartbeat.knownRevision;
+    router->ackedSuspects = heartbeat.knownSuspects;
     router->leaving = heartbeat.leaving;
     router->reportedAll = heartbeat.leaderTerm == term_;
     router->loads.clear();
     for (const OwnLoad &load : heartbeat.loads)
         router->loads[load.key] = load;
+    takeSample(heartbeat, *router);
+    router->sample = heartbeat.sample;
     for (const HeardEndpoint &heard : heartbeat.heard)
         register_.hear(heard, now);
 
@@ -59,6 +62,7 @@
     if (reply.registerReady) {
         reply.registered = register_.deltaSince(heartbeat.registerTerm, heartbeat.registerVersion);
         reply.loads = slotLoads(now);
+        reply.pools = poolLoads(now);
     }
     return reply;
 }
@@ -69,7 +73,8 @@
     register_.tick(now);
     std::erase_if(replaced_, [&](const Router &router) { return !mayHoldLease(router, now); });
     std::erase_if(routers_, [&](const auto &item) {
-        return now - item.second.heardAt > settings_.lostLoad && !state.view().find(item.first);
+        return now - item.second.heardAt > settings_.lostLoad && !mayHoldLease(item.second, now)
+                && !state.view().find(item.first);
     });
     SetViewCommand command;
     command.base = state.view().epoch;
@@ -135,6 +140,14 @@
     return revision;
 }
 
+bool Coordinator::suspectsInForce(const ControlState &state, Instant now) const
+{
+    const uint64_t version = state.suspects().version();
+    return std::all_of(routers_.begin(), routers_.end(), [&](const auto &item) {
+        return !mayHoldLease(item.second, now) || item.second.ackedSuspects >= version;
+    });
+}
+
 std::vector<RouterStatus> Coordinator::routers(const ControlState &state, Instant now) const
 {
     std::vector<RouterStatus> all;
@@ -196,6 +209,35 @@
     return loads;
 }
 
+uint64_t Coordinator::beginSample()
+{
+    sampledBefore_ = std::move(sampled_);
+    sampled_.clear();
+    return ++sample_;
+}
+
+// Adds a router's loads to the newest sample, once.
+void Coordinator::takeSample(const Heartbeat &heartbeat, const Router &router)
+{
+    if (heartbeat.sample != sample_ || router.sample == sample_)
+        return;
+    for (const PoolLoad &load : heartbeat.pools)
+        sampled_[load.pool] += load.running;
+}
+
+// The newest sample that is whole: the last one, once every router that may
+// hold a lease has answered it, else the one before.
+std::vector<PoolLoad> Coordinator::poolLoads(Instant now) const
+{
+    const bool whole = std::all_of(routers_.begin(), routers_.end(), [&](const auto &item) {
+        return !mayHoldLease(item.second, now) || item.second.sample == sample_;
+    });
+    std::vector<PoolLoad> loads;
+    for (const auto &[pool, running] : whole ? sampled_ : sampledBefore_)
+        loads.push_back({ pool, running });
+    return loads;
+}
+
 // Finds or makes the record of the process that sent the heartbeat. Null for a
 // process that a newer one has replaced and for a heartbeat that was overtaken.
 Coordinator::Router *Coordinator::admit(const Heartbeat &heartbeat, Instant now)
--- a/fleet/coordinator.h
+++ b/fleet/coordinator.h
@@ -49,6 +49,10 @@
 public:
     Coordinator(CoordinatorSettings settings, uint64_t term, const View &view, Instant now);
 
+    // Begins a sample: the driver now asks all routers at once for a heartbeat
+    // with their loads, so that the sums are of one moment. Returns its number.
+    uint64_t beginSample();
+
     HeartbeatReply heartbeat(const Heartbeat &heartbeat, const ControlState &state, Instant now);
 
     // The next view to propose, if the routers alive differ from the view.
@@ -59,6 +63,9 @@
     // The revision that every router that may hold a lease has in force.
     Revision revisionInForce(const ControlState &state, Instant now) const;
 
+    // True if every router that may hold a lease knows the suspects.
+    bool suspectsInForce(const ControlState &state, Instant now) const;
+
     std::vector<RouterStatus> routers(const ControlState &state, Instant now) const;
     const EndpointRegister &endpoints() const { return register_; }
 
@@ -71,16 +78,20 @@
         uint64_t sequence = 0;
         Epoch ackedEpoch = 0;
         Revision ackedRevision = 0;
+        uint64_t ackedSuspects = 0;
         bool leaving = false;
         bool everHeard = false;
         bool reportedAll = false; // its endpoints, to this leader
         std::map<EndpointKey, OwnLoad> loads;
+        uint64_t sample = 0;
     };
 
     Duration surelyEnded() const;
     bool mayHoldLease(const Router &router, Instant now) const;
     bool registerReady(const View &view, Instant now) const;
     std::vector<SlotLoad> slotLoads(Instant now) const;
+    std::vector<PoolLoad> poolLoads(Instant now) const;
+    void takeSample(const Heartbeat &heartbeat, const Router &router);
     Router *admit(const Heartbeat &heartbeat, Instant now);
 
     CoordinatorSettings settings_;
@@ -89,6 +100,10 @@
     std::map<std::string, Router> routers_; // by name; the newest process of each
     std::vector<Router> replaced_; // processes that a newer one has replaced
     EndpointRegister register_;
+    uint64_t sample_ = 0;
+    // Sums of the newest sample and of the one before.
+    std::map<uint64_t, uint32_t> sampled_;
+    std::map<uint64_t, uint32_t> sampledBefore_;
 };
 
 } // namespace bamboogap
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -26,6 +26,15 @@
     bool operator==(const OwnLoad &) const = default;
 };
 
+// What ran in a pool at the moment of a sample.
+struct PoolLoad
+{
+    uint64_t pool = 0; // hash of its name
+    uint32_t running = 0;
+
+    bool operator==(const PoolLoad &) const = default;
+};
+
 struct Heartbeat
 {
     RouterInfo router;
@@ -39,6 +48,8 @@
     bool leaving = false;
     std::vector<HeardEndpoint> heard;
     std::vector<OwnLoad> loads; // every endpoint with running work or owned
+    uint64_t sample = 0; // the leader's sample that `pools` was taken at
+    std::vector<PoolLoad> pools; // of this router's work
 };
 
 // Load of one endpoint over all routers.
@@ -64,6 +75,7 @@
     RegisterDelta registered;
     bool registerReady = false; // else the router goes on with what it knows
     std::vector<SlotLoad> loads; // by slot; only with registerReady
+    std::vector<PoolLoad> pools; // sums over all routers, of one sample
 };
 
 } // namespace bamboogap
--- a/fleet/member.cc
+++ b/fleet/member.cc
@@ -91,6 +91,7 @@
                 || !reply.registered.removed.empty();
         takeRegister(std::move(reply.registered));
         takeLoads(reply.loads);
+        pools_ = std::move(reply.pools);
     }
     if (reply.granted) {
         leaseEnd_ = std::max(leaseEnd_, sentAt + reply.lease);
@@ -99,8 +100,8 @@
     activeEpoch_ = std::min(reply.activeEpoch, view_.epoch);
     if (holdsLease(now))
         news.ownership = refreshOwnership();
-    news.acknowledge
-            = newLeader || news.view || news.lists || (reply.granted && activeEpoch_ < view_.epoch);
+    news.acknowledge = newLeader || reply.suspects || news.view || news.lists
+            || (reply.granted && activeEpoch_ < view_.epoch);
     return news;
 }
 
--- a/fleet/member.h
+++ b/fleet/member.h
@@ -75,6 +75,8 @@
     const View &view() const { return view_; }
     const Lists &lists() const { return lists_; }
     const std::map<std::string, KnownEndpoint> &endpoints() const { return endpoints_; }
+    // Loads of the pools over all routers, as of the last reply.
+    const std::vector<PoolLoad> &pools() const { return pools_; }
     const std::set<std::string> &owned() const { return owned_; }
     bool everLeased() const { return everLeased_; }
     bool leaving() const { return leaving_; }
@@ -114,6 +116,7 @@
     std::map<Slot, std::string> slots_;
     std::map<std::string, Heard> heard_;
     std::set<std::string> owned_;
+    std::vector<PoolLoad> pools_;
 };
 
 } // namespace bamboogap
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -339,6 +339,55 @@
     });
 }
 
+// Work moves between routers all the time; the sum that a reply gives is one
+// that did run at the moment of a sample.
+TEST_CASE("the sum of the loads is of one moment", "[fleet][fuzz][promise-1]")
+{
+    rc::prop("samples", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        ControlState state;
+        Instant now { seconds(1000) };
+        Coordinator coordinator({}, 1, state.view(), now);
+        std::vector<RouterInfo> routers;
+        for (int i = 0; i < 4; ++i)
+            routers.push_back({ "r" + std::to_string(i), 1, "dc", std::to_string(i) });
+        std::vector<uint32_t> running(4, 6);
+        std::vector<uint64_t> sequence(4, 0);
+        std::vector<uint64_t> sampleOf(4, 0);
+        std::vector<uint32_t> sampledLoad(4, 0);
+        uint64_t sample = 0;
+        for (int step = 0; step < 500; ++step) {
+            now += milliseconds(10);
+            if (step % 10 == 0) {
+                sample = coordinator.beginSample();
+                // The sample reaches all at once; their answers come later.
+                for (size_t i = 0; i < 4; ++i) {
+                    sampleOf[i] = random() % 8 == 0 ? sampleOf[i] : sample;
+                    sampledLoad[i] = running[i];
+                }
+            }
+            const size_t from = random() % 4;
+            const size_t to = random() % 4;
+            if (running[from] > 0) {
+                --running[from];
+                ++running[to];
+            }
+            const size_t i = random() % 4;
+            Heartbeat heartbeat;
+            heartbeat.router = routers[i];
+            heartbeat.sequence = ++sequence[i];
+            heartbeat.leaderTerm = 1;
+            heartbeat.sample = sampleOf[i];
+            heartbeat.pools.push_back({ 7, sampledLoad[i] });
+            const HeartbeatReply reply = coordinator.heartbeat(heartbeat, state, now);
+            for (const PoolLoad &load : reply.pools)
+                RC_ASSERT(load.running <= 24U);
+            if (auto view = coordinator.tick(state, now, 0))
+                state.apply(*view);
+        }
+    });
+}
+
 TEST_CASE("a flapping endpoint is held down for longer each time", "[fleet]")
 {
     RegisterSettings settings;
@@ -409,6 +458,26 @@
     });
 }
 
+// Found by a random history: a router that leaves, then falls silent, was
+// forgotten after the time for lost load, which was shorter than its lease.
+TEST_CASE("a router that left may hold its lease longer than its load is counted",
+          "[fleet][promise-3]")
+{
+    FleetSimulation fleet(7);
+    fleet.settings.lostLoad = milliseconds(100);
+    fleet.newLeader();
+    fleet.run(seconds(8));
+    const size_t owner = fleet.owners("e0").at(0);
+    fleet.nodes[owner].member->leave();
+    // The leader hears that it leaves; the router does not hear the new view.
+    fleet.beat(owner);
+    const Instant end = fleet.now + milliseconds(40);
+    while (fleet.now < end)
+        fleet.step();
+    fleet.nodes[owner].cut = true;
+    fleet.run(seconds(5), [&] { REQUIRE(fleet.owners("e0").size() <= 1); });
+}
+
 // Random histories of everything at once.
 TEST_CASE("random histories of the fleet", "[fleet][fuzz][promise-3][promise-7][promise-9]")
 {
--- a/node/controlclient.cc
+++ b/node/controlclient.cc
@@ -86,22 +86,33 @@
                     });
 }
 
-kj::Promise<Result<std::string>> ControlClient::status()
+kj::Promise<Result<std::string>> ControlClient::status(Duration limit)
 {
+    return tryStatus(BootClock::now() + limit);
+}
+
+kj::Promise<Result<std::string>> ControlClient::tryStatus(Instant giveUpAt)
+{
+    const Duration left = giveUpAt - BootClock::now();
+    if (left <= Duration {})
+        return Result<std::string>(tl::unexpected(noLeader()));
     const std::string asked = target_;
-    auto request = leader().statusRequest();
-    return loop_
-            .within(kCallLimit,
-                    kj::Promise<capnp::Response<wire::Node::StatusResults>>(request.send()))
+    const auto again = [this, giveUpAt]() {
+        return loop_.sleep(kPause).then([this, giveUpAt]() { return tryStatus(giveUpAt); });
+    };
+    kj::Promise<capnp::Response<wire::Node::StatusResults>> sent = leader().statusRequest().send();
+    return loop_.within(std::min(left, kCallLimit), kj::mv(sent))
             .then(
-                    [this, asked](auto &&response) -> Result<std::string> {
+                    [this, asked, again](auto &&response) -> kj::Promise<Result<std::string>> {
                         if (response.getAnswered())
-                            return std::string(toView(response.getStatus()));
+                            return Result<std::string>(std::string(toView(response.getStatus())));
                         follow(response.getLeader(), asked);
-                        return tl::unexpected(noLeader());
+                        return again();
                     },
-                    [](kj::Exception &&) -> Result<std::string> {
-                        return tl::unexpected(noLeader());
+                    [this, asked,
+                     again](kj::Exception &&problem) -> kj::Promise<Result<std::string>> {
+                        tryNext(asked, problem.getType() == kj::Exception::Type::OVERLOADED);
+                        return again();
                     });
 }
 
--- a/node/controlclient.h
+++ b/node/controlclient.h
@@ -27,13 +27,14 @@
     kj::Promise<Result<HeartbeatReply>> heartbeat(const Heartbeat &heartbeat);
 
     // The leader's status for operators, as JSON text.
-    kj::Promise<Result<std::string>> status();
+    kj::Promise<Result<std::string>> status(Duration limit);
 
     kj::Promise<Result<void>> removeReplica(const std::string &name);
 
     const std::string &target() const { return target_; }
 
 private:
+    kj::Promise<Result<std::string>> tryStatus(Instant giveUpAt);
     kj::Promise<Result<CommandAnswer>> tryCommand(std::string encoded, Instant giveUpAt);
     wire::Node::Client leader() { return peers_.node(target_, Lane::Control); }
     void follow(wire::LeaderHint::Reader hint, const std::string &asked);
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -20,6 +20,8 @@
 constexpr Duration kMessageLimit = std::chrono::seconds(1);
 constexpr Duration kSnapshotLimit = std::chrono::seconds(30);
 constexpr int kMaxUnanswered = 64;
+constexpr Duration kInForceWait = std::chrono::milliseconds(400);
+constexpr Duration kInForcePoll = std::chrono::milliseconds(2);
 
 uint64_t randomNumber()
 {
@@ -73,6 +75,7 @@
 {
     loop_.every(kTick, [this] { tick(); });
     loop_.every(kCoordinate, [this] { coordinate(); });
+    loop_.every(settings_.heartbeat, [this] { sampleLoads(); });
     loop_.every(kAskToJoin, [this] { askToJoin(); });
     loop_.every(kExpire, [this] {
         const int64_t now = wallClockMillis();
@@ -102,7 +105,54 @@
     auto paf = kj::newPromiseAndFulfiller<Result<CommandAnswer>>();
     pending_[*index] = { raft_->term(), kj::mv(paf.fulfiller) };
     drain();
-    return kj::mv(paf.promise);
+    if (!std::holds_alternative<StrikeCommand>(command))
+        return kj::mv(paf.promise);
+    // Strikes are answered when every router knows them.
+    return paf.promise.then([this](Result<CommandAnswer> answer) {
+        const auto wrap = [](CommandAnswer given) { return Result<CommandAnswer>(given); };
+        if (!answer)
+            return kj::Promise<Result<CommandAnswer>>(kj::mv(answer));
+        return whenInForce(*answer, BootClock::now() + kInForceWait).then(wrap);
+    });
+}
+
+kj::Promise<CommandAnswer> ControlTask::whenInForce(CommandAnswer answer, Instant giveUpAt)
+{
+    const Instant now = BootClock::now();
+    if (now >= giveUpAt || !coordinator_ || coordinator_->suspectsInForce(state_, now))
+        return answer;
+    return loop_.sleep(kInForcePoll).then([this, answer, giveUpAt]() {
+        return whenInForce(answer, giveUpAt);
+    });
+}
+
+// Asks all routers at one moment for their loads.
+void ControlTask::sampleLoads()
+{
+    if (!coordinator_ || !maySpeak())
+        return;
+    sample_ = coordinator_->beginSample();
+    pokeRouters();
+}
+
+// Asks the routers of the view for a heartbeat, once for all that is applied in
+// one go.
+void ControlTask::pokeRouters()
+{
+    if (pokeQueued_ || !coordinator_)
+        return;
+    pokeQueued_ = true;
+    loop_.detach(kj::evalLater([this]() {
+                     pokeQueued_ = false;
+                     for (const RouterInfo &router : state_.view().routers) {
+                         auto poke = peers_.node(router.address, Lane::Control).pokeRequest();
+                         poke.setSample(sample_);
+                         loop_.detach(loop_.within(kMessageLimit, poke.send().ignoreResult())
+                                              .catch_([](kj::Exception &&) {}),
+                                      "poke");
+                     }
+                 }),
+                 "poke");
 }
 
 HeartbeatReply ControlTask::heartbeat(const Heartbeat &heartbeat)
@@ -246,7 +296,13 @@
             stopReplica(command.error());
             return;
         }
+        const Revision revision = state_.lists().revision;
+        const Epoch epoch = state_.view().epoch;
+        const uint64_t suspects = state_.suspects().version();
         const CommandAnswer answer = state_.apply(*command);
+        if (state_.lists().revision != revision || state_.view().epoch != epoch
+            || state_.suspects().version() != suspects)
+            pokeRouters();
         if (waiting != pending_.end() && waiting->second.term == entry.term)
             waiting->second.fulfiller->fulfill(Result<CommandAnswer>(answer));
         else if (waiting != pending_.end())
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -33,6 +33,7 @@
     CoordinatorSettings coordinator;
     StateLimits limits;
     size_t snapshotEvery = 2000; // entries
+    Duration heartbeat = std::chrono::milliseconds(500); // of the routers
 };
 
 class ControlTask
@@ -84,6 +85,9 @@
     void drain();
     bool handle(RaftOutput output);
     void applyEntry(const LogEntry &entry);
+    kj::Promise<CommandAnswer> whenInForce(CommandAnswer answer, Instant giveUpAt);
+    void pokeRouters();
+    void sampleLoads();
     void sendMessage(const RaftMessage &message);
     void followRole();
     void coordinate();
@@ -102,6 +106,8 @@
     Term coordinatorTerm_ = 0;
     LogIndex applied_ = 0;
     LogIndex viewProposal_ = 0; // not applied yet
+    bool pokeQueued_ = false;
+    uint64_t sample_ = 0;
     bool draining_ = false;
     bool failed_ = false;
     bool wasMember_ = false;
--- a/node/convert.cc
+++ b/node/convert.cc
@@ -105,6 +105,26 @@
              std::string(toView(reader.getAddress())) };
 }
 
+namespace {
+
+void write(const std::vector<PoolLoad> &pools, capnp::List<wire::PoolLoad>::Builder list)
+{
+    for (size_t i = 0; i < pools.size(); ++i) {
+        list[i].setPool(pools[i].pool);
+        list[i].setRunning(pools[i].running);
+    }
+}
+
+std::vector<PoolLoad> read(capnp::List<wire::PoolLoad>::Reader list)
+{
+    std::vector<PoolLoad> pools;
+    for (const auto load : list)
+        pools.push_back({ load.getPool(), load.getRunning() });
+    return pools;
+}
+
+} // namespace
+
 void write(const Heartbeat &heartbeat, wire::Heartbeat::Builder builder)
 {
     write(heartbeat.router, builder.initRouter());
@@ -116,6 +136,7 @@
     builder.setRegisterTerm(heartbeat.registerTerm);
     builder.setRegisterVersion(heartbeat.registerVersion);
     builder.setLeaving(heartbeat.leaving);
+    builder.setSample(heartbeat.sample);
     auto heard = builder.initHeard(heartbeat.heard.size());
     for (size_t i = 0; i < heartbeat.heard.size(); ++i) {
         const HeardEndpoint &item = heartbeat.heard[i];
@@ -131,6 +152,7 @@
         loads[i].setRunning(heartbeat.loads[i].running);
         loads[i].setRampLimit(heartbeat.loads[i].rampLimit);
     }
+    write(heartbeat.pools, builder.initPools(heartbeat.pools.size()));
 }
 
 namespace {
@@ -157,6 +179,7 @@
     heartbeat.registerTerm = reader.getRegisterTerm();
     heartbeat.registerVersion = reader.getRegisterVersion();
     heartbeat.leaving = reader.getLeaving();
+    heartbeat.sample = reader.getSample();
     for (const auto item : reader.getHeard()) {
         HeardEndpoint heard;
         heard.key = item.getKey();
@@ -172,6 +195,7 @@
     }
     for (const auto load : reader.getLoads())
         heartbeat.loads.push_back({ load.getKey(), load.getRunning(), load.getRampLimit() });
+    heartbeat.pools = read(reader.getPools());
     return heartbeat;
 }
 
@@ -220,6 +244,7 @@
         running.set(i, reply.loads[i].running);
         rampLimits.set(i, reply.loads[i].rampLimit);
     }
+    write(reply.pools, builder.initPools(reply.pools.size()));
 }
 
 Result<HeartbeatReply> read(wire::HeartbeatReply::Reader reader)
@@ -270,6 +295,7 @@
     const auto rampLimits = reader.getRampLimits();
     for (uint i = 0; i < running.size() && i < rampLimits.size(); ++i)
         reply.loads.push_back({ running[i], rampLimits[i] });
+    reply.pools = read(reader.getPools());
     return reply;
 }
 
--- a/node/daemon.cc
+++ b/node/daemon.cc
@@ -60,7 +60,7 @@
         }
         operators_ = std::make_unique<OperatorFront>(loop_, settings_, members_, owner_, entry_,
                                                      control_, replica_.get(), metrics_);
-        auto node = makeNodeServer(owner_, replica_.get());
+        auto node = makeNodeServer(owner_, members_, replica_.get());
         peers_.setSelf(settings_.listen.peers, node);
         auto server = PeerServer::listen(loop_, *parseSocketAddress(settings_.listen.peers),
                                          settings_.fleetKey, kj::mv(node));
@@ -139,6 +139,7 @@
         control.coordinator = settings_.coordinator;
         control.limits = settings_.state;
         control.snapshotEvery = settings_.snapshotEvery;
+        control.heartbeat = settings_.heartbeat;
         auto replica = ControlTask::open(loop_, peers_, std::move(control), std::move(*disk));
         if (!replica)
             return tl::unexpected(replica.error());
--- a/node/endpointcall.cc
+++ b/node/endpointcall.cc
@@ -96,6 +96,8 @@
         const timeval silence { silenceMillis / 1000, (silenceMillis % 1000) * 1000 };
         evhttp_connection_set_timeout_tv(connection_, &silence);
         evhttp_connection_set_max_body_size(connection_, -1);
+        evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
+                        &EndpointCall::onOutput, this);
         auto paf = kj::newPromiseAndFulfiller<void>();
         ended_ = kj::mv(paf.fulfiller);
         send();
@@ -129,6 +131,19 @@
         }
     }
 
+    // evhttp puts the request into the connection's buffer when the connection
+    // stands, and writes it in the loop's next turn at the earliest. A call that
+    // is refused here is cancelled before that turn.
+    static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *context)
+    {
+        auto *self = static_cast<EndpointCall *>(context);
+        if (info->n_added == 0 || self->asked_)
+            return;
+        self->asked_ = true;
+        if (self->request_.maySend && !self->request_.maySend())
+            self->finish(EndpointResult::NotSent, "the right to send ended before it was sent");
+    }
+
     // Gives up a connection that does not come to stand. While the socket has
     // no peer, evhttp has written nothing.
     kj::Promise<void> watchConnect()
@@ -289,6 +304,7 @@
     evhttp_request *inFlight_ = nullptr;
     EndpointOutcome outcome_;
     std::string error_;
+    bool asked_ = false; // whether it may be sent
     bool foreign_ = false;
     bool headRead_ = false;
     bool hasEnd_ = false;
--- a/node/entrytask.cc
+++ b/node/entrytask.cc
@@ -22,6 +22,9 @@
 
 // How long the end of a call that must not be repeated may take to commit.
 constexpr Duration kRecordLimit = std::chrono::seconds(10);
+// A request under which this many endpoints crashed is not tried again.
+constexpr int kMostCrashes = 2;
+
 constexpr Duration kMostStartCallWait = std::chrono::seconds(5);
 
 // Headers that concern one connection or the router itself and are not passed on.
@@ -78,6 +81,7 @@
     std::string passedOver; // "endpoint:reason" of those that refused
     ForwardOutcome lastRefusal;
     int tries = 0;
+    int crashes = 0; // of endpoints under this request
     Instant arrived {};
     bool callerGone = false;
     kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> cancel;
@@ -553,6 +557,9 @@
     if (outcome.result == ForwardResult::Complete)
         return outcome;
     const bool gone = request->callerGone && request->repeatable;
+    // Once the caller has a part of an answer, no other answer may follow it.
+    if (outcome.result == ForwardResult::NotRun && request->streamStarted)
+        outcome.result = ForwardResult::Failed;
     if (outcome.result == ForwardResult::NotRun) {
         request->passedOver += fmt::format("{}{}:{}", request->passedOver.empty() ? "" : ";",
                                            candidate.endpoint, outcome.problem.message);
@@ -573,7 +580,9 @@
         return tryNext(request);
     }
     request->mayHaveRun = true;
-    const bool mayRetry = request->repeatable && !request->streamStarted && !gone;
+    request->crashes += outcome.crashed;
+    const bool mayRetry = request->crashes < kMostCrashes && request->repeatable
+            && !request->streamStarted && !gone;
     if (!mayRetry || !retries_.takeRetry())
         return outcome;
     metrics_.count("bamboogap_retries_total");
--- a/node/membertask.cc
+++ b/node/membertask.cc
@@ -30,7 +30,11 @@
     loads_ = std::move(loads);
     news_ = std::move(news);
     beatSoon();
-    loop_.every(interval_, [this] { beat(); });
+    // Mostly the leader's samples set the pace; this is for when they do not come.
+    loop_.every(interval_ / 2, [this] {
+        if (BootClock::now() - lastBeat_ >= interval_)
+            beat();
+    });
 }
 
 void MemberTask::hear(const Announcement &announcement)
@@ -43,6 +47,12 @@
         beatSoon();
 }
 
+void MemberTask::beatNow(uint64_t sample)
+{
+    sample_ = sample;
+    beat();
+}
+
 kj::Promise<void> MemberTask::leave(Duration limit)
 {
     member_.leave();
@@ -63,10 +73,12 @@
 void MemberTask::beat()
 {
     Heartbeat heartbeat = member_.makeHeartbeat(BootClock::now());
-    heartbeat.loads = loads_();
-    ReportedLoads &reported = sent_[heartbeat.sequence];
-    for (const OwnLoad &load : heartbeat.loads)
-        reported[load.key] = load.running;
+    lastBeat_ = BootClock::now();
+    const ReportedLoads reported = loads_();
+    heartbeat.sample = sample_;
+    heartbeat.loads = reported.loads;
+    heartbeat.pools = reported.pools;
+    sent_[heartbeat.sequence] = reported;
     while (sent_.size() > kMaxSentKept)
         sent_.erase(sent_.begin());
     const std::string asked = control_.target();
--- a/node/membertask.h
+++ b/node/membertask.h
@@ -14,13 +14,17 @@
 
 namespace bamboogap {
 
-// Running work by endpoint, as it was reported with a heartbeat.
-using ReportedLoads = std::map<EndpointKey, uint16_t>;
+// The work of this router as it was reported with a heartbeat.
+struct ReportedLoads
+{
+    std::vector<OwnLoad> loads;
+    std::vector<PoolLoad> pools;
+};
 
 class MemberTask
 {
 public:
-    using LoadsHook = std::function<std::vector<OwnLoad>()>;
+    using LoadsHook = std::function<ReportedLoads()>;
     using NewsHook = std::function<void(const MemberNews &, const ReportedLoads &)>;
 
     MemberTask(EventLoop &loop, ControlClient &control, RouterInfo self, Duration heartbeat);
@@ -30,6 +34,9 @@
     // An endpoint announced itself here. News of it goes out at once.
     void hear(const Announcement &announcement);
 
+    // The leader has news for this router, or samples the loads.
+    void beatNow(uint64_t sample);
+
     // Leaves the fleet; fulfilled when the leader has acknowledged it or the
     // limit has passed.
     kj::Promise<void> leave(Duration limit);
@@ -49,6 +56,8 @@
     LoadsHook loads_;
     NewsHook news_;
     std::map<uint64_t, ReportedLoads> sent_; // by heartbeat sequence
+    uint64_t sample_ = 0;
+    Instant lastBeat_ {};
     bool beatQueued_ = false;
     bool hadLease_ = false;
 };
--- a/node/nodeserver.cc
+++ b/node/nodeserver.cc
@@ -13,8 +13,9 @@
 class NodeServer final : public wire::Node::Server
 {
 public:
-    NodeServer(OwnerTask &owner, ControlTask *control)
+    NodeServer(OwnerTask &owner, MemberTask &members, ControlTask *control)
         : owner_(owner)
+        , members_(members)
         , control_(control)
     {
     }
@@ -131,6 +132,12 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> poke(PokeContext context) override
+    {
+        members_.beatNow(context.getParams().getSample());
+        return kj::READY_NOW;
+    }
+
 private:
     void hint(wire::LeaderHint::Builder builder) const
     {
@@ -140,14 +147,15 @@
     }
 
     OwnerTask &owner_;
+    MemberTask &members_;
     ControlTask *control_;
 };
 
 } // namespace
 
-wire::Node::Client makeNodeServer(OwnerTask &owner, ControlTask *control)
+wire::Node::Client makeNodeServer(OwnerTask &owner, MemberTask &members, ControlTask *control)
 {
-    return kj::heap<NodeServer>(owner, control);
+    return kj::heap<NodeServer>(owner, members, control);
 }
 
 } // namespace bamboogap
--- a/node/nodeserver.h
+++ b/node/nodeserver.h
@@ -4,13 +4,14 @@
 #define BAMBOOGAP_NODE_NODESERVER_H
 
 #include "node/controltask.h"
+#include "node/membertask.h"
 #include "node/ownertask.h"
 #include "node/wire.capnp.h"
 
 namespace bamboogap {
 
 // control is null on a node without a data folder.
-wire::Node::Client makeNodeServer(OwnerTask &owner, ControlTask *control);
+wire::Node::Client makeNodeServer(OwnerTask &owner, MemberTask &members, ControlTask *control);
 
 } // namespace bamboogap
 
--- a/node/operatorfront.cc
+++ b/node/operatorfront.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration kChangeLimit = std::chrono::seconds(9);
+constexpr Duration kStatusLimit = std::chrono::seconds(5);
 
 using nlohmann::json;
 
@@ -104,18 +105,19 @@
 // Asks the leader, so that what is shown is never older than what was accepted.
 void OperatorFront::status(ExchangeId exchange, bool listsOnly)
 {
-    loop_.detach(control_.status().then([this, exchange, listsOnly](Result<std::string> answer) {
-        if (!answer) {
-            replyError(exchange, answer.error());
-            return;
-        }
-        json status = json::parse(*answer, nullptr, false);
-        if (listsOnly)
-            status = status.value("lists", json::object());
-        else
-            status.erase("lists");
-        replyJson(exchange, 200, status);
-    }),
+    loop_.detach(control_.status(kStatusLimit)
+                         .then([this, exchange, listsOnly](Result<std::string> answer) {
+                             if (!answer) {
+                                 replyError(exchange, answer.error());
+                                 return;
+                             }
+                             json status = json::parse(*answer, nullptr, false);
+                             if (listsOnly)
+                                 status = status.value("lists", json::object());
+                             else
+                                 status.erase("lists");
+                             replyJson(exchange, 200, status);
+                         }),
                  "status");
 }
 
--- a/node/ownertask.cc
+++ b/node/ownertask.cc
@@ -2,9 +2,13 @@
 
 #include "node/ownertask.h"
 
+#include <algorithm>
+#include <set>
+
 #include <fmt/format.h>
 #include <kj/debug.h>
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "node/convert.h"
 
@@ -13,6 +17,10 @@
 namespace {
 
 constexpr Duration kStrikeLimit = std::chrono::seconds(5);
+// A failure is not held back longer than this for its strikes.
+constexpr Duration kStrikeWait = std::chrono::milliseconds(500);
+// By then an endpoint that crashed has come back as a new incarnation or gone.
+constexpr Duration kCrashReview = std::chrono::seconds(6);
 constexpr Duration kResumePause = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfterFailure = std::chrono::seconds(1);
 constexpr int kHttpTooManyRequests = 429;
@@ -98,10 +106,12 @@
         endpointNames_[key] = id;
         const bool inService = member.usable(id).has_value();
         board_.set(id, endpoint.announcement.poolName(), endpoint.announcement.capacity, inService);
-        const auto own = reported.find(key);
-        const uint32_t ownThen = own == reported.end() ? 0 : own->second;
-        board_.reportOthers(id,
-                            endpoint.load.running > ownThen ? endpoint.load.running - ownThen : 0);
+        const auto own = std::find_if(reported.loads.begin(), reported.loads.end(),
+                                      [key](const OwnLoad &load) { return load.key == key; });
+        const uint32_t ownThen = own == reported.loads.end() ? 0 : own->running;
+        const uint32_t others
+                = endpoint.load.running > ownThen ? endpoint.load.running - ownThen : 0;
+        board_.reportOthers(id, others);
         if (member.owned().count(id)) {
             admission_.setEndpoint(endpoint.announcement, endpoint.load.rampLimit);
         } else {
@@ -109,13 +119,26 @@
             board_.setRampLimit(id, endpoint.load.rampLimit);
         }
     }
+    followPools();
     advance();
 }
 
-std::vector<OwnLoad> OwnerTask::loads()
+ReportedLoads OwnerTask::loads()
 {
     members_.holdsLease();
-    return admission_.loads(members_.member().owned());
+    return { admission_.loads(members_.member().owned()), board_.ownPools() };
+}
+
+void OwnerTask::followPools()
+{
+    std::map<uint64_t, uint32_t> sums;
+    for (const PoolLoad &load : members_.member().pools())
+        sums[load.pool] = load.running;
+    std::set<std::string> pools;
+    for (const auto &[id, endpoint] : members_.member().endpoints())
+        pools.insert(endpoint.announcement.poolName());
+    for (const std::string &pool : pools)
+        board_.reportPool(pool, sums[hashBytes(pool)]);
 }
 
 std::optional<std::string> OwnerTask::obstacleTo(std::string_view endpoint)
@@ -277,7 +300,12 @@
                     return outcome;
                 return loop_.sleep(kResumePause).then([this, run]() {
                     run->events.dropPartial();
-                    return callOnce(run, true);
+                    return callOnce(run, true).then([](EndpointOutcome resumed) {
+                        // The request itself has been sent before.
+                        if (resumed.result == EndpointResult::NotSent)
+                            resumed.result = EndpointResult::Broken;
+                        return resumed;
+                    });
                 });
             })
             .then([this, run](EndpointOutcome outcome) {
@@ -302,6 +330,8 @@
     request.body = call.body;
     request.requestId = fmt::format("{:016x}", call.id);
     request.mustEcho = known->second.announcement.echoesRequestId;
+    request.maySend
+            = [this, endpoint = run->endpoint]() { return !obstacleTo(endpoint).has_value(); };
     if (resume) {
         request.method = "POST";
         request.path = "/v1/resume";
@@ -384,7 +414,7 @@
     report.connectFailed = outcome.result == EndpointResult::NotSent;
     report.crashed = outcome.result == EndpointResult::Broken
             && outcome.problem != "the endpoint fell silent";
-    finish(*run, report);
+    auto struck = finish(*run, report);
     result.result = report.connectFailed ? ForwardResult::NotRun : ForwardResult::Failed;
     result.crashed = report.crashed;
     result.retryAfter = kRetryAfterFailure;
@@ -398,7 +428,9 @@
     } else {
         result.problem = endpointError(outcome.result, outcome.problem);
     }
-    return result;
+    if (struck.empty())
+        return result;
+    return reportCrash(std::move(struck), run->endpoint).then([result]() { return result; });
 }
 
 // Gives the rest of the answer to the entry router; done when it has taken all.
@@ -418,35 +450,63 @@
 }
 
 // Ends the run in the admission, once; a waiting one is taken from the queue.
-void OwnerTask::finish(Run &run, const FinishReport &report)
+// Returns the requests that a crash strikes.
+std::vector<Fingerprint> OwnerTask::finish(Run &run, const FinishReport &report)
 {
     if (run.finished)
-        return;
+        return {};
     run.finished = true;
     if (!run.admitted) {
         admission_.cancelWaiting(run.id);
-        return;
+        return {};
     }
-    const auto struck = admission_.finish(run.id, report, BootClock::now());
-    const auto known = members_.member().endpoints().find(run.endpoint);
-    if (!struck.empty() && known != members_.member().endpoints().end())
-        this->report(struck, known->second);
+    auto struck = admission_.finish(run.id, report, BootClock::now());
     // Waiting work starts outside of the callback that ended this one.
     loop_.detach(kj::evalLater([this]() { advance(); }), "advance");
+    return struck;
 }
 
-void OwnerTask::report(const std::vector<Fingerprint> &struck, const KnownEndpoint &endpoint)
+// Commits the strikes of a crash. The caller learns of the failure when they
+// are in force, a few milliseconds later, so that its next try is refused by
+// every router if this was the second crash.
+kj::Promise<void> OwnerTask::reportCrash(std::vector<Fingerprint> struck, std::string endpoint)
 {
-    const std::string crash
-            = fmt::format("{}#{}", endpoint.announcement.id, endpoint.announcement.incarnation);
+    const auto known = members_.member().endpoints().find(endpoint);
+    const uint64_t incarnation = known == members_.member().endpoints().end()
+            ? 0
+            : known->second.announcement.incarnation;
     logEvent(LogLevel::Warning, "endpoint_crashed",
-             { { "endpoint", endpoint.announcement.id },
-               { "incarnation", fmt::to_string(endpoint.announcement.incarnation) },
+             { { "endpoint", endpoint },
+               { "incarnation", fmt::to_string(incarnation) },
                { "requests", fmt::to_string(struck.size()) } });
     metrics_.count("bamboogap_endpoint_crashes_total");
-    loop_.detach(control_.command(StrikeCommand { struck, crash, wallClockMillis() }, kStrikeLimit)
+    loop_.detach(loop_.sleep(kCrashReview).then([this, endpoint, incarnation]() {
+        reviewCrash(endpoint, incarnation);
+    }),
+                 "crash review");
+    const std::string crash = fmt::format("{}#{}", endpoint, incarnation);
+    auto committed = control_.command(StrikeCommand { std::move(struck), crash, wallClockMillis() },
+                                      kStrikeLimit)
+                             .ignoreResult();
+    auto shared = committed.fork();
+    auto waited = shared.addBranch().exclusiveJoin(loop_.sleep(kStrikeWait));
+    loop_.detach(shared.addBranch(), "strike");
+    return waited;
+}
+
+// An endpoint that goes on under the same incarnation did not crash: it only
+// broke off an answer.
+void OwnerTask::reviewCrash(const std::string &endpoint, uint64_t incarnation)
+{
+    const auto known = members_.member().endpoints().find(endpoint);
+    if (known == members_.member().endpoints().end()
+        || known->second.announcement.incarnation != incarnation)
+        return;
+    logEvent(LogLevel::Info, "no_crash", { { "endpoint", endpoint } });
+    loop_.detach(control_.command(RetractCommand { fmt::format("{}#{}", endpoint, incarnation) },
+                                  kStrikeLimit)
                          .ignoreResult(),
-                 "strike");
+                 "retract");
 }
 
 void OwnerTask::advance()
--- a/node/ownertask.h
+++ b/node/ownertask.h
@@ -32,7 +32,7 @@
 
     // Follows a heartbeat's reply: endpoints, loads and ownership.
     void onNews(const MemberNews &news, const ReportedLoads &reported);
-    std::vector<OwnLoad> loads();
+    ReportedLoads loads();
 
     // Runs a request on an owned endpoint, or tells why not. Dropping the
     // promise cancels the request.
@@ -50,6 +50,7 @@
     struct Run;
     using RunId = uint64_t;
 
+    void followPools();
     std::optional<std::string> obstacleTo(std::string_view endpoint);
     ForwardOutcome refusal(const Run &run, const Admitted &refused) const;
     std::optional<std::string> placeOf(const ForwardCall &call);
@@ -59,8 +60,9 @@
     kj::Promise<void> onPart(Run &run, std::string_view data);
     kj::Promise<ForwardOutcome> conclude(std::shared_ptr<Run> run, EndpointOutcome outcome);
     kj::Promise<void> handOver(std::shared_ptr<Run> run);
-    void finish(Run &run, const FinishReport &report);
-    void report(const std::vector<Fingerprint> &struck, const KnownEndpoint &endpoint);
+    std::vector<Fingerprint> finish(Run &run, const FinishReport &report);
+    kj::Promise<void> reportCrash(std::vector<Fingerprint> struck, std::string endpoint);
+    void reviewCrash(const std::string &endpoint, uint64_t incarnation);
     void advance();
     void scheduleExpiry();
 
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -65,6 +65,11 @@
   rampLimit @2 :UInt16;
 }
 
+struct PoolLoad {
+  pool @0 :UInt64;
+  running @1 :UInt32;
+}
+
 struct Heartbeat {
   router @0 :RouterInfo;
   sequence @1 :UInt64;
@@ -77,6 +82,8 @@
   leaving @8 :Bool;
   heard @9 :List(HeardEndpoint);
   loads @10 :List(OwnLoad);
+  pools @11 :List(PoolLoad);
+  sample @12 :UInt64;
 }
 
 struct View {
@@ -113,6 +120,7 @@
   removed @15 :List(UInt16);
   running @16 :List(UInt16);  # by slot
   rampLimits @17 :List(UInt16);  # by slot
+  pools @18 :List(PoolLoad);
 }
 
 # ---- Requests between the entry router and an endpoint's owner ----------------
@@ -210,6 +218,9 @@
 
   # Takes a replica out of the control group by its router's name.
   removeReplica @8 (name :Text) -> (answered :Bool, leader :LeaderHint, problem :Problem);
+
+  # Send a heartbeat now: the leader has news, or samples the loads.
+  poke @9 (sample :UInt64) -> ();
 }
 
 # What a connection starts with: only a peer that knows the fleet's key gets on.
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(d5925242f9a83579);
 CAPNP_DECLARE_SCHEMA(c04883b63a953a5f);
 CAPNP_DECLARE_SCHEMA(81ca04da601441d5);
+CAPNP_DECLARE_SCHEMA(e42f256f83923c0d);
 CAPNP_DECLARE_SCHEMA(fe56e2bca2d1fc66);
 CAPNP_DECLARE_SCHEMA(ac9d8baa74cd45a9);
 CAPNP_DECLARE_SCHEMA(b069bc44553e286d);
@@ -74,6 +75,8 @@
 CAPNP_DECLARE_SCHEMA(fe77389caedeffcb);
 CAPNP_DECLARE_SCHEMA(e1a4cc2585c2822f);
 CAPNP_DECLARE_SCHEMA(81b248c1ec558cea);
+CAPNP_DECLARE_SCHEMA(c652b97a85b7a1fa);
+CAPNP_DECLARE_SCHEMA(c947f049c49d394b);
 CAPNP_DECLARE_SCHEMA(f43cc6d0a7eeaae3);
 CAPNP_DECLARE_SCHEMA(f27e33d3bd00368c);
 CAPNP_DECLARE_SCHEMA(cce3184e3f4610ed);
@@ -189,6 +192,21 @@
   };
 };
 
+struct PoolLoad {
+  PoolLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e42f256f83923c0d, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -197,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe56e2bca2d1fc66, 8, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fe56e2bca2d1fc66, 9, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -257,7 +275,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a036dcd313d7a866, 7, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(a036dcd313d7a866, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -466,6 +484,8 @@
   struct StatusResults;
   struct RemoveReplicaParams;
   struct RemoveReplicaResults;
+  struct PokeParams;
+  struct PokeResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -745,6 +765,36 @@
   };
 };
 
+struct Node::PokeParams {
+  PokeParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c652b97a85b7a1fa, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::PokeResults {
+  PokeResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c947f049c49d394b, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -1524,6 +1574,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class PoolLoad::Reader {
+public:
+  typedef PoolLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool() const;
+
+  inline  ::uint32_t getRunning() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PoolLoad::Builder {
+public:
+  typedef PoolLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool();
+  inline void setPool( ::uint64_t value);
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolLoad::Pipeline {
+public:
+  typedef PoolLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -1566,6 +1697,11 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline bool hasPools() const;
+  inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader getPools() const;
+
+  inline  ::uint64_t getSample() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1639,6 +1775,16 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline bool hasPools();
+  inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder getPools();
+  inline void setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> disownPools();
+
+  inline  ::uint64_t getSample();
+  inline void setSample( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1979,6 +2125,9 @@
   inline bool hasRampLimits() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getRampLimits() const;
 
+  inline bool hasPools() const;
+  inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader getPools() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2092,6 +2241,13 @@
   inline void adoptRampLimits(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownRampLimits();
 
+  inline bool hasPools();
+  inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder getPools();
+  inline void setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> disownPools();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3221,6 +3377,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::bamboogap::wire::Node::RemoveReplicaParams,  ::bamboogap::wire::Node::RemoveReplicaResults> removeReplicaRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::PokeParams,  ::bamboogap::wire::Node::PokeResults> pokeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3273,6 +3431,10 @@
   typedef  ::bamboogap::wire::Node::RemoveReplicaResults RemoveReplicaResults;
   typedef ::capnp::CallContext<RemoveReplicaParams, RemoveReplicaResults> RemoveReplicaContext;
   virtual ::kj::Promise<void> removeReplica(RemoveReplicaContext context);
+  typedef  ::bamboogap::wire::Node::PokeParams PokeParams;
+  typedef  ::bamboogap::wire::Node::PokeResults PokeResults;
+  typedef ::capnp::CallContext<PokeParams, PokeResults> PokeContext;
+  virtual ::kj::Promise<void> poke(PokeContext context);
 
   inline  ::bamboogap::wire::Node::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4850,6 +5012,153 @@
 };
 #endif  // !CAPNP_LITE
 
+class Node::PokeParams::Reader {
+public:
+  typedef PokeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSample() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::PokeParams::Builder {
+public:
+  typedef PokeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSample();
+  inline void setSample( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::PokeParams::Pipeline {
+public:
+  typedef PokeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::PokeResults::Reader {
+public:
+  typedef PokeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::PokeResults::Builder {
+public:
+  typedef PokeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::PokeResults::Pipeline {
+public:
+  typedef PokeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -5787,6 +6096,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PoolLoad::Reader::getPool() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PoolLoad::Builder::getPool() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PoolLoad::Builder::setPool( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PoolLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PoolLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PoolLoad::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasRouter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6006,6 +6343,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasPools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasPools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptPools(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getSample() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getSample() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setSample( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t View::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6539,6 +6924,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool HeartbeatReply::Reader::hasPools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeartbeatReply::Builder::hasPools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader HeartbeatReply::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void HeartbeatReply::Builder::setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void HeartbeatReply::Builder::adoptPools(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> HeartbeatReply::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -8483,6 +8902,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Node::PokeParams::Reader::getSample() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::PokeParams::Builder::getSample() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::PokeParams::Builder::setSample( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/routing/loadboard.cc
+++ b/routing/loadboard.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/hash.h"
+
 namespace bamboogap {
 
 BoardIndex LoadBoard::set(std::string_view id, std::string_view pool, uint32_t capacity,
@@ -84,11 +86,23 @@
     BoardEndpoint *endpoint = edit(id);
     if (!endpoint)
         return;
-    endpoint->othersBefore = endpoint->others;
     endpoint->others = running;
     count(*endpoint, +1);
 }
 
+void LoadBoard::reportPool(std::string_view pool, uint32_t running)
+{
+    pools_[poolIndex(pool)].sampled = running;
+}
+
+std::vector<PoolLoad> LoadBoard::ownPools() const
+{
+    std::vector<PoolLoad> loads;
+    for (const Pool &pool : pools_)
+        loads.push_back({ hashBytes(pool.name), static_cast<uint32_t>(pool.own) });
+    return loads;
+}
+
 void LoadBoard::setRampLimit(std::string_view id, uint32_t rampLimit)
 {
     BoardEndpoint *endpoint = edit(id);
@@ -108,7 +122,7 @@
     const Pool &pool = pools_[endpoint.pool];
     if (pool.bears == 0)
         return 1;
-    const uint64_t total = pool.own + std::min(pool.others, pool.othersBefore);
+    const uint64_t total = std::max(pool.own, pool.sampled);
     const double share = static_cast<double>(endpoint.bears()) / static_cast<double>(pool.bears);
     // Rounding noise must not lift a whole number to the next one.
     constexpr double kRounding = 1e-9;
@@ -135,7 +149,7 @@
     const auto [found, added]
             = poolNames_.try_emplace(std::string(name), static_cast<uint32_t>(pools_.size()));
     if (added)
-        pools_.emplace_back();
+        pools_.push_back({ {}, 0, std::string(name), 0, 0, 0, 0 });
     return found->second;
 }
 
@@ -158,7 +172,6 @@
     pool.bears += sign * int64_t { endpoint.bears() };
     pool.own += sign * int64_t { endpoint.own };
     pool.others += sign * int64_t { endpoint.others };
-    pool.othersBefore += sign * int64_t { endpoint.othersBefore };
     pool.inService += sign;
 }
 
--- a/routing/loadboard.h
+++ b/routing/loadboard.h
@@ -9,9 +9,13 @@
 // the multiple of the mean after the admission, rounded up. What an engine can
 // bear is its capacity, or less while it is cold: a data centre that comes back
 // cold must not lower the mean so far that the warm engines have to refuse work.
-// The router's own part of T is exact; the rest is as old as the last heartbeat,
-// and of the last two reports the smaller counts, so that a falling load is not
-// overstated.
+//
+// T must not be overstated, or an engine gets more than its share. Sums of
+// reports made at different moments count work twice that moves between the
+// routers, so the leader samples all routers at one moment, each heartbeat:
+//     T = max(own count now, sum of the last whole sample)
+// The mean that an engine is held against is thus one that did hold, at most two
+// heartbeats ago. In a surge the bound follows with the next sample.
 
 #ifndef BAMBOOGAP_ROUTING_LOADBOARD_H
 #define BAMBOOGAP_ROUTING_LOADBOARD_H
@@ -23,7 +27,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "fleet/announcement.h"
+#include "fleet/heartbeat.h"
 
 namespace bamboogap {
 
@@ -38,7 +42,6 @@
     uint32_t capacity = 1;
     uint32_t own = 0; // running through this router, exact
     uint32_t others = 0; // through other routers, as reported last
-    uint32_t othersBefore = 0; // as reported the time before
     uint32_t rampLimit = 0; // what its owner lets run there; 0 if not known
     bool inService = false; // counts towards the mean of its pool
     bool present = false;
@@ -67,7 +70,12 @@
     const std::vector<BoardIndex> &pool(std::string_view name) const;
 
     void addOwn(std::string_view id, int delta);
+    // What all other routers run on the endpoint.
     void reportOthers(std::string_view id, uint32_t running);
+    // What ran in a pool through all routers together, by the last whole sample.
+    void reportPool(std::string_view pool, uint32_t running);
+    // What this router runs in each pool, for a sample.
+    std::vector<PoolLoad> ownPools() const;
     void setRampLimit(std::string_view id, uint32_t rampLimit);
 
     // Requests that the load multiple allows on the endpoint, with the next one.
@@ -89,9 +97,10 @@
     {
         std::vector<BoardIndex> members;
         uint64_t bears = 0; // in service
+        std::string name;
         uint64_t own = 0;
         uint64_t others = 0;
-        uint64_t othersBefore = 0;
+        uint64_t sampled = 0; // over all routers
         uint32_t inService = 0;
     };
 
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -150,7 +150,10 @@
             out.write("\n".join(lines) + "\n")
 
     def ready(self):
-        return call(self.operators, "GET", "/readyz", timeout=2).status == 200
+        try:
+            return call(self.operators, "GET", "/readyz", timeout=2).status == 200
+        except (OSError, http.client.HTTPException):
+            return False
 
     def node(self):
         return call(self.operators, "GET", "/v1/operators/node", timeout=2).json()
