Two places a chat, and heartbeats that a node of the target can afford

Change: the last two places are kept, newest first; the first choice counts as one.

Cause: at 770 endpoints and 410 routers a router spent 9.3 ms on each heartbeat's reply, because it looked for every endpoint's owner each time; and a reply had 3,240 bytes, half of them limits that had not changed. Change: owners are found when the view or the endpoint is new; limits travel when they changed; pools are indexed by model.

Also a case for a chat that moved: its next turn, through a third router, finds its cache where it went.

--- a/base/hash.cc
+++ b/base/hash.cc
@@ -8,6 +8,8 @@
 
 #include <cmath>
 
+// Inlined, since placement hashes every endpoint of a pool for each chat.
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace bamboogap {
--- a/fleet/coordinator.cc
+++ b/fleet/coordinator.cc
@@ -61,7 +61,7 @@
     reply.registerReady = registerReady(view, now);
     if (reply.registerReady) {
         reply.registered = register_.deltaSince(heartbeat.registerTerm, heartbeat.registerVersion);
-        reply.loads = slotLoads(now);
+        addLoads(reply, heartbeat, now);
         reply.pools = poolLoads(now);
     }
     return reply;
@@ -184,10 +184,14 @@
     });
 }
 
-std::vector<SlotLoad> Coordinator::slotLoads(Instant now) const
+// Running work by slot, summed over the routers; and the ramp limits if they
+// have changed since the router learned them, which is seldom in a warm fleet.
+void Coordinator::addLoads(HeartbeatReply &reply, const Heartbeat &heartbeat, Instant now)
 {
     const auto &entries = register_.entries();
-    std::vector<SlotLoad> loads(entries.empty() ? 0 : entries.rbegin()->first + 1);
+    const size_t slots = entries.empty() ? 0 : entries.rbegin()->first + size_t { 1 };
+    reply.running.resize(slots);
+    std::vector<uint16_t> limits(slots);
     const auto add = [&](const Router &router) {
         if (now - router.heardAt > settings_.lease + settings_.lostLoad)
             return;
@@ -195,18 +199,23 @@
             const auto slot = register_.slotOf(key);
             if (!slot)
                 continue;
-            SlotLoad &sum = loads[*slot];
-            const uint32_t running = sum.running + uint32_t { load.running };
-            sum.running = static_cast<uint16_t>(
+            const uint32_t running = reply.running[*slot] + uint32_t { load.running };
+            reply.running[*slot] = static_cast<uint16_t>(
                     std::min<uint32_t>(running, std::numeric_limits<uint16_t>::max()));
-            sum.rampLimit = std::max(sum.rampLimit, load.rampLimit);
+            limits[*slot] = std::max(limits[*slot], load.rampLimit);
         }
     };
     for (const auto &[name, router] : routers_)
         add(router);
     for (const Router &router : replaced_)
         add(router);
-    return loads;
+    if (limits != rampLimits_) {
+        rampLimits_ = std::move(limits);
+        ++limitsVersion_;
+    }
+    reply.limitsVersion = limitsVersion_;
+    if (heartbeat.leaderTerm != term_ || heartbeat.knownLimits != limitsVersion_)
+        reply.rampLimits = rampLimits_;
 }
 
 uint64_t Coordinator::beginSample()
--- a/fleet/coordinator.h
+++ b/fleet/coordinator.h
@@ -89,7 +89,7 @@
     Duration surelyEnded() const;
     bool mayHoldLease(const Router &router, Instant now) const;
     bool registerReady(const View &view, Instant now) const;
-    std::vector<SlotLoad> slotLoads(Instant now) const;
+    void addLoads(HeartbeatReply &reply, const Heartbeat &heartbeat, Instant now);
     std::vector<PoolLoad> poolLoads(Instant now) const;
     void takeSample(const Heartbeat &heartbeat, const Router &router);
     Router *admit(const Heartbeat &heartbeat, Instant now);
@@ -100,6 +100,8 @@
     std::map<std::string, Router> routers_; // by name; the newest process of each
     std::vector<Router> replaced_; // processes that a newer one has replaced
     EndpointRegister register_;
+    uint64_t limitsVersion_ = 1;
+    std::vector<uint16_t> rampLimits_; // of that version
     uint64_t sample_ = 0;
     // Sums of the newest sample and of the one before.
     std::map<uint64_t, uint32_t> sampled_;
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -48,6 +48,7 @@
     bool leaving = false;
     std::vector<HeardEndpoint> heard;
     std::vector<OwnLoad> loads; // every endpoint with running work or owned
+    uint64_t knownLimits = 0; // version of the ramp limits
     uint64_t sample = 0; // the leader's sample that `pools` was taken at
     std::vector<PoolLoad> pools; // of this router's work
 };
@@ -57,8 +58,6 @@
 {
     uint16_t running = 0;
     uint16_t rampLimit = 0; // 0 while no owner has reported
-
-    bool operator==(const SlotLoad &) const = default;
 };
 
 struct HeartbeatReply
@@ -74,7 +73,9 @@
     uint64_t suspectsVersion = 0;
     RegisterDelta registered;
     bool registerReady = false; // else the router goes on with what it knows
-    std::vector<SlotLoad> loads; // by slot; only with registerReady
+    std::vector<uint16_t> running; // by slot; only with registerReady
+    uint64_t limitsVersion = 0;
+    std::vector<uint16_t> rampLimits; // by slot; empty if the router knows them
     std::vector<PoolLoad> pools; // sums over all routers, of one sample
 };
 
--- a/fleet/member.cc
+++ b/fleet/member.cc
@@ -30,6 +30,7 @@
     heartbeat.leaderTerm = leaderTerm_;
     heartbeat.registerTerm = registerTerm_;
     heartbeat.registerVersion = registerVersion_;
+    heartbeat.knownLimits = limitsVersion_;
     heartbeat.leaving = leaving_;
     sentAt_[sequence_] = now;
     while (sentAt_.size() > kMaxHeartbeatsInFlight)
@@ -74,6 +75,8 @@
     }
     if (reply.view && reply.view->epoch > view_.epoch) {
         view_ = std::move(*reply.view);
+        for (auto &[id, endpoint] : endpoints_)
+            findOwner(endpoint);
         news.view = true;
     }
     if (reply.lists && reply.lists->revision > lists_.revision) {
@@ -90,7 +93,7 @@
         news.endpoints = reply.registered.full || !reply.registered.changed.empty()
                 || !reply.registered.removed.empty();
         takeRegister(std::move(reply.registered));
-        takeLoads(reply.loads);
+        takeLoads(reply);
         pools_ = std::move(reply.pools);
     }
     if (reply.granted) {
@@ -149,9 +152,18 @@
     return &found->second;
 }
 
-const RouterInfo *Member::ownerOf(const Announcement &announcement) const
+const RouterInfo *Member::ownerOf(const KnownEndpoint &endpoint) const
 {
-    return bamboogap::ownerOf(view_, announcement.id, announcement.dataCentre);
+    return endpoint.owner < view_.routers.size() ? &view_.routers[endpoint.owner] : nullptr;
+}
+
+// Looks through all routers of the view, so only when the view or the endpoint
+// is new.
+void Member::findOwner(KnownEndpoint &endpoint) const
+{
+    const RouterInfo *owner
+            = bamboogap::ownerOf(view_, endpoint.announcement.id, endpoint.announcement.dataCentre);
+    endpoint.owner = owner ? static_cast<size_t>(owner - view_.routers.data()) : SIZE_MAX;
 }
 
 Standing Member::standingOf(Fingerprint fingerprint) const
@@ -182,17 +194,25 @@
         if (before != endpoints_.end())
             removeSlot(before->second.slot);
         slots_[entry.slot] = id;
-        endpoints_[id] = { std::move(entry.announcement), entry.slot, {} };
+        KnownEndpoint &endpoint = endpoints_[id];
+        endpoint = { std::move(entry.announcement), entry.slot, {}, 0 };
+        findOwner(endpoint);
     }
     registerTerm_ = delta.term;
     registerVersion_ = delta.version;
 }
 
-void Member::takeLoads(const std::vector<SlotLoad> &loads)
+void Member::takeLoads(const HeartbeatReply &reply)
 {
+    if (!reply.rampLimits.empty() || reply.limitsVersion != limitsVersion_) {
+        rampLimits_ = reply.rampLimits;
+        limitsVersion_ = reply.limitsVersion;
+    }
     for (auto &[id, endpoint] : endpoints_) {
-        if (endpoint.slot < loads.size())
-            endpoint.load = loads[endpoint.slot];
+        if (endpoint.slot < reply.running.size())
+            endpoint.load.running = reply.running[endpoint.slot];
+        if (endpoint.slot < rampLimits_.size())
+            endpoint.load.rampLimit = rampLimits_[endpoint.slot];
     }
 }
 
@@ -203,7 +223,7 @@
     const RouterInfo *member = view_.find(self_.name);
     if (member && *member == self_) {
         for (const auto &[id, endpoint] : endpoints_) {
-            const RouterInfo *owner = ownerOf(endpoint.announcement);
+            const RouterInfo *owner = ownerOf(endpoint);
             if (!owner || owner->name != self_.name)
                 continue;
             if (activeEpoch_ >= view_.epoch || owned_.count(id))
--- a/fleet/member.h
+++ b/fleet/member.h
@@ -30,6 +30,7 @@
     Announcement announcement;
     Slot slot = 0;
     SlotLoad load; // over all routers, as old as the last heartbeat
+    size_t owner = 0; // place of its owner in the view's routers
 };
 
 // What a heartbeat's reply changed, for the tasks that depend on it.
@@ -68,7 +69,8 @@
     // Why the endpoint must not get new work; nothing if it may.
     tl::expected<const KnownEndpoint *, std::string> usable(std::string_view endpointId) const;
 
-    const RouterInfo *ownerOf(const Announcement &announcement) const;
+    // The owner by the view that this router knows; null for an empty view.
+    const RouterInfo *ownerOf(const KnownEndpoint &endpoint) const;
     Standing standingOf(Fingerprint fingerprint) const;
 
     const RouterInfo &self() const { return self_; }
@@ -94,7 +96,8 @@
     };
 
     void takeRegister(RegisterDelta delta);
-    void takeLoads(const std::vector<SlotLoad> &loads);
+    void takeLoads(const HeartbeatReply &reply);
+    void findOwner(KnownEndpoint &endpoint) const;
     bool refreshOwnership();
 
     RouterInfo self_;
@@ -112,6 +115,8 @@
     uint64_t leaderTerm_ = 0;
     uint64_t registerTerm_ = 0;
     uint64_t registerVersion_ = 0;
+    uint64_t limitsVersion_ = 0;
+    std::vector<uint16_t> rampLimits_; // by slot
     std::map<std::string, KnownEndpoint> endpoints_;
     std::map<Slot, std::string> slots_;
     std::map<std::string, Heard> heard_;
--- a/fleet/view.cc
+++ b/fleet/view.cc
@@ -22,15 +22,16 @@
     const uint64_t key = hashBytes(endpoint);
     const RouterInfo *best = nullptr;
     bool bestIsNear = false;
-    double bestScore = 0;
+    uint64_t bestHash = 0;
     for (const RouterInfo &router : view.routers) {
         const bool isNear = router.dataCentre == dataCentre;
-        const double score = rendezvousScore(key, hashBytes(router.name), 1.0);
-        const bool better = isNear != bestIsNear ? isNear : score > bestScore;
+        // With equal weights the hash itself ranks as the score would.
+        const uint64_t hash = combineHashes(key, hashBytes(router.name));
+        const bool better = isNear != bestIsNear ? isNear : hash > bestHash;
         if (!best || better) {
             best = &router;
             bestIsNear = isNear;
-            bestScore = score;
+            bestHash = hash;
         }
     }
     return best;
--- a/node/convert.cc
+++ b/node/convert.cc
@@ -137,6 +137,7 @@
     builder.setRegisterVersion(heartbeat.registerVersion);
     builder.setLeaving(heartbeat.leaving);
     builder.setSample(heartbeat.sample);
+    builder.setKnownLimits(heartbeat.knownLimits);
     auto heard = builder.initHeard(heartbeat.heard.size());
     for (size_t i = 0; i < heartbeat.heard.size(); ++i) {
         const HeardEndpoint &item = heartbeat.heard[i];
@@ -180,6 +181,7 @@
     heartbeat.registerVersion = reader.getRegisterVersion();
     heartbeat.leaving = reader.getLeaving();
     heartbeat.sample = reader.getSample();
+    heartbeat.knownLimits = reader.getKnownLimits();
     for (const auto item : reader.getHeard()) {
         HeardEndpoint heard;
         heard.key = item.getKey();
@@ -238,12 +240,13 @@
     auto removed = builder.initRemoved(reply.registered.removed.size());
     for (size_t i = 0; i < reply.registered.removed.size(); ++i)
         removed.set(i, reply.registered.removed[i]);
-    auto running = builder.initRunning(reply.loads.size());
-    auto rampLimits = builder.initRampLimits(reply.loads.size());
-    for (size_t i = 0; i < reply.loads.size(); ++i) {
-        running.set(i, reply.loads[i].running);
-        rampLimits.set(i, reply.loads[i].rampLimit);
-    }
+    auto running = builder.initRunning(reply.running.size());
+    for (size_t i = 0; i < reply.running.size(); ++i)
+        running.set(i, reply.running[i]);
+    builder.setLimitsVersion(reply.limitsVersion);
+    auto rampLimits = builder.initRampLimits(reply.rampLimits.size());
+    for (size_t i = 0; i < reply.rampLimits.size(); ++i)
+        rampLimits.set(i, reply.rampLimits[i]);
     write(reply.pools, builder.initPools(reply.pools.size()));
 }
 
@@ -291,10 +294,11 @@
     }
     for (const auto slot : reader.getRemoved())
         reply.registered.removed.push_back(slot);
-    const auto running = reader.getRunning();
-    const auto rampLimits = reader.getRampLimits();
-    for (uint i = 0; i < running.size() && i < rampLimits.size(); ++i)
-        reply.loads.push_back({ running[i], rampLimits[i] });
+    for (const auto running : reader.getRunning())
+        reply.running.push_back(running);
+    reply.limitsVersion = reader.getLimitsVersion();
+    for (const auto limit : reader.getRampLimits())
+        reply.rampLimits.push_back(limit);
     reply.pools = read(reader.getPools());
     return reply;
 }
--- a/node/entrytask.cc
+++ b/node/entrytask.cc
@@ -75,7 +75,7 @@
     std::set<std::string> tried;
     size_t next = 0;
     bool waited = false;
-    std::string movedTo; // where the owner of the first choice said the chat is
+    std::string knownPlace; // where the owner of the first choice said the chat ran last
     bool keptAnswer = false; // the answer of an earlier run is given
     bool mayHaveRun = false; // a try failed after it was sent
     std::string passedOver; // "endpoint:reason" of those that refused
@@ -344,26 +344,14 @@
     return false;
 }
 
-std::vector<std::string> EntryTask::poolsFor(const ForwardCall &call) const
-{
-    std::set<std::string> pools;
-    for (const auto &[id, endpoint] : members_.member().endpoints()) {
-        const Announcement &announcement = endpoint.announcement;
-        const bool fits = call.kind == ForwardKind::Service
-                ? announcement.service == call.service
-                : announcement.offersModel(call.use.model);
-        if (fits)
-            pools.insert(announcement.poolName());
-    }
-    return { pools.begin(), pools.end() };
-}
-
 void EntryTask::place(Request &request)
 {
     PlacementAsk ask;
     ask.chat = request.call.chat;
     ask.returning = request.returning;
-    ask.pools = poolsFor(request.call);
+    const ForwardCall &call = request.call;
+    ask.pools = call.kind == ForwardKind::Service ? owner_.poolsOfService(call.service)
+                                                  : owner_.poolsOfModel(call.use.model);
     ask.eligible = [this, &request](const BoardEndpoint &endpoint) {
         return mayUse(request.call, endpoint.id);
     };
@@ -507,7 +495,7 @@
     const auto known = members_.member().endpoints().find(candidate.endpoint);
     const RouterInfo *owner = known == members_.member().endpoints().end()
             ? nullptr
-            : members_.member().ownerOf(known->second.announcement);
+            : members_.member().ownerOf(known->second);
     ForwardOutcome refused;
     refused.endpoint = candidate.endpoint;
     refused.problem = { ErrorKind::NoCapacity, "the endpoint has gone", "come back shortly" };
@@ -517,7 +505,7 @@
         return after(request, candidate, mayWait, refused);
     }
     request->call.endpoint = candidate.endpoint;
-    request->call.isHome = candidate.endpoint == request->home && request->movedTo.empty();
+    request->call.isHome = candidate.endpoint == request->home && request->knownPlace.empty();
     request->call.mayWait = mayWait;
     ++request->tries;
     const std::string address = owner->address;
@@ -564,13 +552,16 @@
         request->passedOver += fmt::format("{}{}:{}", request->passedOver.empty() ? "" : ";",
                                            candidate.endpoint, outcome.problem.message);
         if (!outcome.movedTo.empty()) {
-            // The chat's cache is elsewhere; its first choice stays a candidate.
+            // The chat's caches are elsewhere; its first choice stays a candidate.
+            std::vector<Candidate> places;
+            for (const std::string &endpoint : outcome.movedTo)
+                places.push_back({ endpoint, endpointKey(endpoint), true });
+            places.push_back(candidate);
             auto &order = request->candidates.order;
-            const auto at = order.begin() + static_cast<ptrdiff_t>(request->next);
-            order.insert(at,
-                         { { outcome.movedTo, endpointKey(outcome.movedTo), true }, candidate });
+            order.insert(order.begin() + static_cast<ptrdiff_t>(request->next), places.begin(),
+                         places.end());
             request->tried.erase(candidate.endpoint);
-            request->movedTo = outcome.movedTo;
+            request->knownPlace = outcome.movedTo.front();
             return tryNext(request);
         }
         request->lastRefusal = outcome;
@@ -678,14 +669,13 @@
 // Tells the owner of the first choice where the chat runs now.
 void EntryTask::noteMove(Request &request, const std::string &endpoint)
 {
-    const bool asKnown
-            = request.movedTo.empty() ? endpoint == request.home : endpoint == request.movedTo;
-    if (request.call.kind != ForwardKind::Chat || asKnown)
+    const std::string &known = request.knownPlace.empty() ? request.home : request.knownPlace;
+    if (request.call.kind != ForwardKind::Chat || endpoint == known)
         return;
     const auto home = members_.member().endpoints().find(request.home);
     if (home == members_.member().endpoints().end())
         return;
-    const RouterInfo *owner = members_.member().ownerOf(home->second.announcement);
+    const RouterInfo *owner = members_.member().ownerOf(home->second);
     if (!owner)
         return;
     auto message = peers_.node(owner->address, Lane::Requests).chatMovedRequest();
--- a/node/entrytask.h
+++ b/node/entrytask.h
@@ -52,7 +52,6 @@
     bool isRepeatable(const Request &request) const;
     std::optional<Error> obstacle() const;
     void place(Request &request);
-    std::vector<std::string> poolsFor(const ForwardCall &call) const;
     bool mayUse(const ForwardCall &call, std::string_view endpoint) const;
 
     void run(Shared request);
--- a/node/forward.cc
+++ b/node/forward.cc
@@ -92,7 +92,9 @@
     builder.setEndpoint(outcome.endpoint);
     write(outcome.problem, builder.initProblem());
     builder.setRetryAfterMicros(toMicros(outcome.retryAfter));
-    builder.setMovedTo(outcome.movedTo);
+    auto movedTo = builder.initMovedTo(outcome.movedTo.size());
+    for (size_t i = 0; i < outcome.movedTo.size(); ++i)
+        movedTo.set(i, outcome.movedTo[i]);
     builder.setCrashed(outcome.crashed);
     builder.setWaitedMicros(toMicros(outcome.waited));
 }
@@ -115,7 +117,8 @@
     outcome.endpoint = toView(reader.getEndpoint());
     outcome.problem = read(reader.getProblem());
     outcome.retryAfter = std::chrono::microseconds(reader.getRetryAfterMicros());
-    outcome.movedTo = toView(reader.getMovedTo());
+    for (const auto endpoint : reader.getMovedTo())
+        outcome.movedTo.emplace_back(toView(endpoint));
     outcome.crashed = reader.getCrashed();
     outcome.waited = std::chrono::microseconds(reader.getWaitedMicros());
     return outcome;
--- a/node/forward.h
+++ b/node/forward.h
@@ -53,7 +53,7 @@
     std::string endpoint; // where it ran
     Error problem; // unless complete
     Duration retryAfter {};
-    std::string movedTo; // with NotRun: where the chat went before
+    std::vector<std::string> movedTo; // with NotRun: where the chat ran, newest first
     bool crashed = false;
     Duration waited {};
 };
--- a/node/ownertask.cc
+++ b/node/ownertask.cc
@@ -87,58 +87,84 @@
 }
 
 void OwnerTask::onNews(const MemberNews &news, const ReportedLoads &reported)
+{
+    if (news.endpoints || news.lists || news.view || news.ownership)
+        followEndpoints();
+    followLoads(reported);
+    advance();
+}
+
+void OwnerTask::followEndpoints()
 {
     Member &member = members_.member();
-    if (news.endpoints || news.lists) {
-        for (auto item = endpointNames_.begin(); item != endpointNames_.end();) {
-            const std::string id = item->second;
-            if (member.endpoints().count(id)) {
-                ++item;
-                continue;
-            }
-            board_.remove(id);
-            admission_.removeEndpoint(id);
-            item = endpointNames_.erase(item);
+    for (auto item = endpointNames_.begin(); item != endpointNames_.end();) {
+        const std::string id = item->second;
+        if (member.endpoints().count(id)) {
+            ++item;
+            continue;
         }
+        board_.remove(id);
+        admission_.removeEndpoint(id);
+        item = endpointNames_.erase(item);
     }
+    modelPools_.clear();
+    poolNames_.clear();
     for (const auto &[id, endpoint] : member.endpoints()) {
-        const EndpointKey key = endpointKey(id);
-        endpointNames_[key] = id;
-        const bool inService = member.usable(id).has_value();
-        board_.set(id, endpoint.announcement.poolName(), endpoint.announcement.capacity, inService);
-        const auto own = std::find_if(reported.loads.begin(), reported.loads.end(),
-                                      [key](const OwnLoad &load) { return load.key == key; });
-        const uint32_t ownThen = own == reported.loads.end() ? 0 : own->running;
-        const uint32_t others
-                = endpoint.load.running > ownThen ? endpoint.load.running - ownThen : 0;
-        board_.reportOthers(id, others);
-        if (member.owned().count(id)) {
-            admission_.setEndpoint(endpoint.announcement, endpoint.load.rampLimit);
-        } else {
+        const Announcement &announcement = endpoint.announcement;
+        const std::string pool = announcement.poolName();
+        endpointNames_[endpointKey(id)] = id;
+        poolNames_[hashBytes(pool)] = pool;
+        for (const Offer &offer : announcement.offers)
+            modelPools_[offer.model].insert(pool);
+        board_.set(id, pool, announcement.capacity, member.usable(id).has_value());
+        if (member.owned().count(id))
+            admission_.setEndpoint(announcement, endpoint.load.rampLimit);
+        else
             admission_.removeEndpoint(id);
-            board_.setRampLimit(id, endpoint.load.rampLimit);
-        }
     }
-    followPools();
-    advance();
 }
 
-ReportedLoads OwnerTask::loads()
+void OwnerTask::followLoads(const ReportedLoads &reported)
 {
-    members_.holdsLease();
-    return { admission_.loads(members_.member().owned()), board_.ownPools() };
+    Member &member = members_.member();
+    std::map<EndpointKey, uint16_t> own;
+    for (const OwnLoad &load : reported.loads)
+        own[load.key] = load.running;
+    for (const auto &[key, id] : endpointNames_) {
+        const auto known = member.endpoints().find(id);
+        if (known == member.endpoints().end())
+            continue;
+        const SlotLoad &load = known->second.load;
+        const auto ownThen = own.find(key);
+        const uint32_t mine = ownThen == own.end() ? 0 : ownThen->second;
+        board_.reportOthers(id, load.running > mine ? load.running - mine : 0);
+        if (member.owned().count(id) == 0)
+            board_.setRampLimit(id, load.rampLimit);
+    }
+    for (const PoolLoad &load : member.pools()) {
+        const auto pool = poolNames_.find(load.pool);
+        if (pool != poolNames_.end())
+            board_.reportPool(pool->second, load.running);
+    }
 }
 
-void OwnerTask::followPools()
+std::vector<std::string> OwnerTask::poolsOfModel(const std::string &model) const
 {
-    std::map<uint64_t, uint32_t> sums;
-    for (const PoolLoad &load : members_.member().pools())
-        sums[load.pool] = load.running;
-    std::set<std::string> pools;
-    for (const auto &[id, endpoint] : members_.member().endpoints())
-        pools.insert(endpoint.announcement.poolName());
-    for (const std::string &pool : pools)
-        board_.reportPool(pool, sums[hashBytes(pool)]);
+    const auto found = modelPools_.find(model);
+    if (found == modelPools_.end())
+        return {};
+    return { found->second.begin(), found->second.end() };
+}
+
+std::vector<std::string> OwnerTask::poolsOfService(const std::string &service) const
+{
+    return { "service/" + service };
+}
+
+ReportedLoads OwnerTask::loads()
+{
+    members_.holdsLease();
+    return { admission_.loads(members_.member().owned()), board_.ownPools() };
 }
 
 std::optional<std::string> OwnerTask::obstacleTo(std::string_view endpoint)
@@ -168,28 +194,17 @@
         return outcome;
     }
     if (run->call.isHome) {
-        if (const auto place = placeOf(run->call)) {
-            if (!members_.member().owns(*place, run->arrived)) {
-                ForwardOutcome outcome;
-                outcome.movedTo = *place;
-                outcome.problem = { ErrorKind::NoCapacity, "the chat went to another endpoint",
-                                    "ask the owner of that endpoint" };
-                return outcome;
-            }
-            // It is owned here too: try there first, then at the first choice.
-            Ask ask;
-            ask.request.id = run->id;
-            ask.endpoint = *place;
-            ask.fingerprint = run->call.fingerprint;
-            ask.suspect = members_.member().standingOf(run->call.fingerprint) == Standing::Suspect;
-            if (admission_.ask(ask, run->arrived).decision == AdmitDecision::Run) {
-                run->admitted = true;
-                run->endpoint = *place;
-            }
+        const std::vector<std::string> places = placesOf(run->call);
+        if (!places.empty() && places.front() != run->call.endpoint) {
+            ForwardOutcome outcome;
+            outcome.movedTo = places;
+            outcome.problem = { ErrorKind::NoCapacity, "the chat ran elsewhere since",
+                                "ask the owners of those endpoints" };
+            return outcome;
         }
     }
     runs_[run->id] = run;
-    auto outcome = run->admitted ? execute(run) : admit(run);
+    auto outcome = admit(run);
     // Whatever ends the promise, also a caller that went away, ends the run.
     return outcome.attach(kj::defer([this, run]() {
         finish(*run, {});
@@ -197,29 +212,30 @@
     }));
 }
 
-// Where the chat runs if not at its first choice.
-std::optional<std::string> OwnerTask::placeOf(const ForwardCall &call)
+// Where the chat ran, newest first, as far as those endpoints may still be used.
+// Empty if it never ran elsewhere than at its first choice.
+std::vector<std::string> OwnerTask::placesOf(const ForwardCall &call)
 {
-    const auto key = affinity_.find(call.chat);
-    if (!key)
-        return std::nullopt;
-    const auto name = endpointNames_.find(*key);
-    if (name == endpointNames_.end() || name->second == call.endpoint
-        || !members_.member().usable(name->second)) {
-        affinity_.forget(call.chat);
-        return std::nullopt;
+    std::vector<std::string> places;
+    for (const EndpointKey key : affinity_.find(call.chat)) {
+        const auto name = endpointNames_.find(key);
+        if (name != endpointNames_.end() && members_.member().usable(name->second))
+            places.push_back(name->second);
     }
-    return name->second;
+    return places;
 }
 
+// Chats that never went elsewhere take no memory.
 void OwnerTask::chatMoved(ChatKey chat, std::string_view home, std::string_view endpoint)
 {
     if (!members_.member().owns(home, BootClock::now()))
         return;
-    if (endpoint.empty() || endpoint == home)
-        affinity_.forget(chat);
-    else
-        affinity_.remember(chat, endpointKey(endpoint));
+    if (affinity_.find(chat).empty()) {
+        if (endpoint == home)
+            return;
+        affinity_.remember(chat, endpointKey(home));
+    }
+    affinity_.remember(chat, endpointKey(endpoint));
 }
 
 kj::Promise<ForwardOutcome> OwnerTask::admit(std::shared_ptr<Run> run)
@@ -249,8 +265,6 @@
     case AdmitDecision::Run:
         run->admitted = true;
         run->endpoint = call.endpoint;
-        if (call.isHome)
-            affinity_.forget(call.chat);
         return execute(run);
     case AdmitDecision::Refuse:
         return refusal(*run, admitted);
--- a/node/ownertask.h
+++ b/node/ownertask.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "node/endpointcall.h"
@@ -38,9 +39,13 @@
     // promise cancels the request.
     kj::Promise<ForwardOutcome> forward(ForwardCall call, wire::AnswerSink::Client sink);
 
-    // A chat whose first choice is owned here ran elsewhere; empty forgets it.
+    // Where a chat ran whose first choice is owned here.
     void chatMoved(ChatKey chat, std::string_view home, std::string_view endpoint);
 
+    // Pools whose endpoints offer a model, or the pool of a service.
+    std::vector<std::string> poolsOfModel(const std::string &model) const;
+    std::vector<std::string> poolsOfService(const std::string &service) const;
+
     const LoadBoard &board() const { return board_; }
     const Admission &admission() const { return admission_; }
     size_t rememberedChats() const { return affinity_.size(); }
@@ -50,10 +55,11 @@
     struct Run;
     using RunId = uint64_t;
 
-    void followPools();
+    void followEndpoints();
+    void followLoads(const ReportedLoads &reported);
     std::optional<std::string> obstacleTo(std::string_view endpoint);
     ForwardOutcome refusal(const Run &run, const Admitted &refused) const;
-    std::optional<std::string> placeOf(const ForwardCall &call);
+    std::vector<std::string> placesOf(const ForwardCall &call);
     kj::Promise<ForwardOutcome> admit(std::shared_ptr<Run> run);
     kj::Promise<ForwardOutcome> execute(std::shared_ptr<Run> run);
     kj::Promise<EndpointOutcome> callOnce(std::shared_ptr<Run> run, bool resume);
@@ -75,6 +81,8 @@
     Admission admission_;
     AffinityTable affinity_;
     std::map<EndpointKey, std::string> endpointNames_;
+    std::map<std::string, std::set<std::string>> modelPools_;
+    std::map<uint64_t, std::string> poolNames_; // by hash
     std::map<RunId, std::shared_ptr<Run>> runs_;
     RunId lastRun_ = 0;
     Instant expiryAt_ = Instant::max();
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -84,6 +84,7 @@
   loads @10 :List(OwnLoad);
   pools @11 :List(PoolLoad);
   sample @12 :UInt64;
+  knownLimits @13 :UInt64;
 }
 
 struct View {
@@ -119,8 +120,9 @@
   changed @14 :List(RegisterEntry);
   removed @15 :List(UInt16);
   running @16 :List(UInt16);  # by slot
-  rampLimits @17 :List(UInt16);  # by slot
+  rampLimits @17 :List(UInt16);  # by slot; empty if the router knows them
   pools @18 :List(PoolLoad);
+  limitsVersion @19 :UInt64;
 }
 
 # ---- Requests between the entry router and an endpoint's owner ----------------
@@ -175,7 +177,7 @@
   endpoint @1 :Text;  # where it ran
   problem @2 :Problem;
   retryAfterMicros @3 :Int64;
-  movedTo @4 :Text;  # with notRun: where the chat went before
+  movedTo @4 :List(Text);  # with notRun: where the chat ran before, newest first
   crashed @5 :Bool;  # the endpoint broke off under it
   waitedMicros @6 :Int64;
 }
@@ -194,7 +196,7 @@
 interface Node {
   forward @0 (request :ForwardRequest, sink :AnswerSink) -> (outcome :ForwardOutcome);
 
-  # A chat whose first choice the callee owns ran elsewhere; empty forgets it.
+  # Tells the owner of a chat's first choice where the chat ran.
   chatMoved @1 (chat :UInt64, home :Text, endpoint :Text) -> ();
 
   # Answered by the leader only; else `leader` tells where to ask.
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -215,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe56e2bca2d1fc66, 9, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fe56e2bca2d1fc66, 10, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -275,7 +275,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a036dcd313d7a866, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(a036dcd313d7a866, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1702,6 +1702,8 @@
 
   inline  ::uint64_t getSample() const;
 
+  inline  ::uint64_t getKnownLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1785,6 +1787,9 @@
   inline  ::uint64_t getSample();
   inline void setSample( ::uint64_t value);
 
+  inline  ::uint64_t getKnownLimits();
+  inline void setKnownLimits( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2128,6 +2133,8 @@
   inline bool hasPools() const;
   inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader getPools() const;
 
+  inline  ::uint64_t getLimitsVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2248,6 +2255,9 @@
   inline void adoptPools(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> disownPools();
 
+  inline  ::uint64_t getLimitsVersion();
+  inline void setLimitsVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2716,7 +2726,7 @@
   inline  ::int64_t getRetryAfterMicros() const;
 
   inline bool hasMovedTo() const;
-  inline  ::capnp::Text::Reader getMovedTo() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMovedTo() const;
 
   inline bool getCrashed() const;
 
@@ -2771,11 +2781,12 @@
   inline void setRetryAfterMicros( ::int64_t value);
 
   inline bool hasMovedTo();
-  inline  ::capnp::Text::Builder getMovedTo();
-  inline void setMovedTo( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMovedTo(unsigned int size);
-  inline void adoptMovedTo(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMovedTo();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMovedTo();
+  inline void setMovedTo( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMovedTo(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMovedTo(unsigned int size);
+  inline void adoptMovedTo(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMovedTo();
 
   inline bool getCrashed();
   inline void setCrashed(bool value);
@@ -6391,6 +6402,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Heartbeat::Reader::getKnownLimits() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getKnownLimits() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setKnownLimits( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t View::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6958,6 +6983,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t HeartbeatReply::Reader::getLimitsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeartbeatReply::Builder::getLimitsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void HeartbeatReply::Builder::setLimitsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7717,29 +7756,33 @@
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardOutcome::Reader::getMovedTo() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ForwardOutcome::Reader::getMovedTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardOutcome::Builder::getMovedTo() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ForwardOutcome::Builder::getMovedTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ForwardOutcome::Builder::setMovedTo( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ForwardOutcome::Builder::setMovedTo( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardOutcome::Builder::initMovedTo(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void ForwardOutcome::Builder::setMovedTo(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ForwardOutcome::Builder::initMovedTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ForwardOutcome::Builder::adoptMovedTo(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardOutcome::Builder::disownMovedTo() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ForwardOutcome::Builder::disownMovedTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
--- a/routing/affinity.cc
+++ b/routing/affinity.cc
@@ -6,31 +6,43 @@
 
 void AffinityTable::remember(ChatKey chat, EndpointKey endpoint)
 {
-    forget(chat);
-    notes_.push_front({ chat, endpoint });
-    places_[chat] = notes_.begin();
-    if (places_.size() > capacity_) {
-        places_.erase(notes_.back().chat);
+    if (find(chat).empty()) {
+        notes_.push_front({ chat, 0, {} });
+        index_[chat] = notes_.begin();
+    }
+    Note &note = notes_.front();
+    const auto begin = note.places.begin();
+    auto place = std::find(begin, begin + note.count, endpoint);
+    if (place == begin + note.count) {
+        // A new place pushes out the oldest.
+        note.count = std::min(note.count + 1, places_);
+        place = begin + note.count - 1;
+        *place = endpoint;
+    }
+    std::rotate(begin, place, place + 1);
+    if (index_.size() > capacity_) {
+        index_.erase(notes_.back().chat);
         notes_.pop_back();
     }
 }
 
 void AffinityTable::forget(ChatKey chat)
 {
-    const auto found = places_.find(chat);
-    if (found == places_.end())
+    const auto found = index_.find(chat);
+    if (found == index_.end())
         return;
     notes_.erase(found->second);
-    places_.erase(found);
+    index_.erase(found);
 }
 
-std::optional<EndpointKey> AffinityTable::find(ChatKey chat)
+std::span<const EndpointKey> AffinityTable::find(ChatKey chat)
 {
-    const auto found = places_.find(chat);
-    if (found == places_.end())
-        return std::nullopt;
+    const auto found = index_.find(chat);
+    if (found == index_.end())
+        return {};
     notes_.splice(notes_.begin(), notes_, found->second);
-    return found->second->endpoint;
+    const Note &note = notes_.front();
+    return { note.places.data(), note.count };
 }
 
 } // namespace bamboogap
--- a/routing/loadboard.cc
+++ b/routing/loadboard.cc
@@ -30,18 +30,16 @@
         fresh.key = endpointKey(id);
         fresh.present = true;
         fresh.pool = poolIndex(pool);
-        pools_[fresh.pool].members.push_back(index);
+        enterPool(index);
     }
     BoardEndpoint &endpoint = endpoints_[found->second];
     count(endpoint, -1);
     const uint32_t newPool = poolIndex(pool);
-    if (newPool != endpoint.pool) {
-        std::erase(pools_[endpoint.pool].members, found->second);
-        endpoint.pool = newPool;
-        pools_[newPool].members.push_back(found->second);
-    }
+    leavePool(found->second);
+    endpoint.pool = newPool;
     endpoint.capacity = std::max<uint32_t>(capacity, 1);
     endpoint.inService = inService;
+    enterPool(found->second);
     count(endpoint, +1);
     return found->second;
 }
@@ -53,7 +51,7 @@
         return;
     BoardEndpoint &endpoint = endpoints_[found->second];
     count(endpoint, -1);
-    std::erase(pools_[endpoint.pool].members, found->second);
+    leavePool(found->second);
     endpoint = {};
     free_.push_back(found->second);
     indexes_.erase(found);
@@ -65,9 +63,9 @@
     return found == indexes_.end() ? nullptr : &endpoints_[found->second];
 }
 
-const std::vector<BoardIndex> &LoadBoard::pool(std::string_view name) const
+const std::vector<PoolMember> &LoadBoard::pool(std::string_view name) const
 {
-    static const std::vector<BoardIndex> none;
+    static const std::vector<PoolMember> none;
     const auto found = poolNames_.find(std::string(name));
     return found == poolNames_.end() ? none : pools_[found->second].members;
 }
@@ -153,6 +151,19 @@
     return found->second;
 }
 
+void LoadBoard::enterPool(BoardIndex index)
+{
+    const BoardEndpoint &endpoint = endpoints_[index];
+    pools_[endpoint.pool].members.push_back(
+            { endpoint.key, index, endpoint.capacity, endpoint.inService });
+}
+
+void LoadBoard::leavePool(BoardIndex index)
+{
+    std::erase_if(pools_[endpoints_[index].pool].members,
+                  [index](const PoolMember &member) { return member.index == index; });
+}
+
 // The endpoint, taken out of its pool's sums; the caller counts it again.
 BoardEndpoint *LoadBoard::edit(std::string_view id)
 {
--- a/routing/loadboard.h
+++ b/routing/loadboard.h
@@ -50,6 +50,15 @@
     uint32_t bears() const { return rampLimit == 0 ? capacity : std::min(capacity, rampLimit); }
 };
 
+// What placement needs of an endpoint, kept dense for the scan of a pool.
+struct PoolMember
+{
+    EndpointKey key = 0;
+    BoardIndex index = 0;
+    uint32_t capacity = 1;
+    bool inService = false;
+};
+
 class LoadBoard
 {
 public:
@@ -67,7 +76,7 @@
     const BoardEndpoint &at(BoardIndex index) const { return endpoints_[index]; }
 
     // Endpoints of a pool, in service or not; empty if there is no such pool.
-    const std::vector<BoardIndex> &pool(std::string_view name) const;
+    const std::vector<PoolMember> &pool(std::string_view name) const;
 
     void addOwn(std::string_view id, int delta);
     // What all other routers run on the endpoint.
@@ -95,7 +104,7 @@
 private:
     struct Pool
     {
-        std::vector<BoardIndex> members;
+        std::vector<PoolMember> members;
         uint64_t bears = 0; // in service
         std::string name;
         uint64_t own = 0;
@@ -105,6 +114,8 @@
     };
 
     uint32_t poolIndex(std::string_view name);
+    void enterPool(BoardIndex index);
+    void leavePool(BoardIndex index);
     BoardEndpoint *edit(std::string_view id);
     void count(const BoardEndpoint &endpoint, int sign);
 
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -1,13 +1,13 @@
 // Placement by weighted rendezvous hashing.
 //
 // Within one capacity the score grows with the hash alone, so the logarithm is
-// needed only for the best few of each capacity. The scan is one hash for each
-// endpoint of the pool: 770 endpoints cost about a microsecond.
+// needed only for the best few of each capacity, and whether an endpoint is
+// eligible only for those that would be among them. The scan is one hash for
+// each endpoint of the pool.
 
 #include "routing/placement.h"
 
 #include <algorithm>
-#include <map>
 
 #include "base/hash.h"
 
@@ -27,37 +27,57 @@
     BoardIndex index = 0;
 };
 
-// The `count` endpoints with the highest hash, best first.
-void keepBest(std::vector<Hashed> &hashed, size_t count)
+// The few endpoints of one capacity with the highest hashes, best first.
+struct BestOfCapacity
 {
-    const auto better
-            = [](const Hashed &left, const Hashed &right) { return left.hash > right.hash; };
-    count = std::min(count, hashed.size());
-    std::partial_sort(hashed.begin(), hashed.begin() + count, hashed.end(), better);
-    hashed.resize(count);
+    uint32_t capacity = 0;
+    std::vector<Hashed> best;
+
+    bool wants(uint64_t hash, size_t count) const
+    {
+        return best.size() < count || hash > best.back().hash;
+    }
+
+    void add(Hashed item, size_t count)
+    {
+        const auto place = std::find_if(best.begin(), best.end(), [&](const Hashed &other) {
+            return item.hash > other.hash;
+        });
+        best.insert(place, item);
+        if (best.size() > count)
+            best.pop_back();
+    }
+};
+
+BestOfCapacity &bestOf(std::vector<BestOfCapacity> &classes, uint32_t capacity)
+{
+    for (BestOfCapacity &known : classes) {
+        if (known.capacity == capacity)
+            return known;
+    }
+    classes.push_back({ capacity, {} });
+    return classes.back();
 }
 
 // Eligible endpoints in service by falling score, `count` at most.
 std::vector<Scored> bestScored(const LoadBoard &board, const PlacementAsk &ask, size_t count)
 {
-    std::map<uint32_t, std::vector<Hashed>> byCapacity;
+    std::vector<BestOfCapacity> classes;
     for (const std::string &pool : ask.pools) {
-        for (const BoardIndex index : board.pool(pool)) {
-            const BoardEndpoint &endpoint = board.at(index);
-            if (endpoint.inService)
-                byCapacity[endpoint.capacity].push_back(
-                        { combineHashes(ask.chat, endpoint.key), index });
+        for (const PoolMember &member : board.pool(pool)) {
+            if (!member.inService)
+                continue;
+            const uint64_t hash = combineHashes(ask.chat, member.key);
+            BestOfCapacity &best = bestOf(classes, member.capacity);
+            if (best.wants(hash, count) && (!ask.eligible || ask.eligible(board.at(member.index))))
+                best.add({ hash, member.index }, count);
         }
     }
     std::vector<Scored> scored;
-    for (auto &[capacity, hashed] : byCapacity) {
-        std::erase_if(hashed, [&](const Hashed &item) {
-            return ask.eligible && !ask.eligible(board.at(item.index));
-        });
-        keepBest(hashed, count);
-        for (const Hashed &item : hashed) {
-            const double score = rendezvousScore(ask.chat, board.at(item.index).key, capacity);
-            scored.push_back({ score, item.index });
+    for (const BestOfCapacity &best : classes) {
+        for (const Hashed &item : best.best) {
+            const uint64_t key = board.at(item.index).key;
+            scored.push_back({ rendezvousScore(ask.chat, key, best.capacity), item.index });
         }
     }
     std::sort(scored.begin(), scored.end(),
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -258,6 +258,41 @@
         fleet.stop()
 
 
+@case
+def moved_chat_returns_to_its_cache(build):
+    """A chat whose first choice was full went elsewhere; its next turns find its cache there."""
+    fleet = standard(build, engines=2, services=0, cold_capacity=2, capacity=2, token_ms=20)
+    try:
+        opening = [user("a chat that moves")]
+        home = chat(fleet.routers[0], opening).headers["X-Endpoint"]
+        # Two other chats with the same first choice fill it.
+        same = []
+        for i in range(60):
+            answer = chat(fleet.routers[0], [user("find")], X_Chat_Id=f"b{i}")
+            if answer.headers["X-Endpoint"] == home and len(same) < 2:
+                same.append(f"b{i}")
+            if len(same) == 2:
+                break
+        slow = [user("find"), {"role": "assistant", "content": "x"}, user("SLOW=4000")]
+        busy = [threading.Thread(target=chat, args=(fleet.routers[0], slow),
+                                 kwargs={"X_Chat_Id": name}) for name in same]
+        for thread in busy:
+            thread.start()
+        engine = next(e for e in fleet.endpoints if e.name == home)
+        wait_for(lambda: engine.stats()["running"] >= 2, 5, "its first choice is full")
+        turns = opening + [{"role": "assistant", "content": "x"}, user("more")]
+        moved = chat(fleet.routers[1], turns)
+        for thread in busy:
+            thread.join()
+        if moved.headers["X-Endpoint"] == home:
+            raise AssertionError("the chat did not move")
+        later = chat(fleet.routers[2], turns + [{"role": "assistant", "content": "y"}, user("on")])
+        assert later.headers["X-Endpoint"] == moved.headers["X-Endpoint"], later.headers
+        assert later.json()["usage"]["cached"], later.body
+    finally:
+        fleet.stop()
+
+
 @case
 def promise_5_not_run_is_true(build):
     """Under kills and freezes, an order that was told not_run did not run."""
