--- a/control/calls.h
+++ b/control/calls.h
@@ -76,7 +76,7 @@
 
 struct CallLimits
 {
-    size_t maxRecords = 200000;
+    size_t maxRecords = 50000; // a snapshot of these pauses the replica for about 0.15 s
     size_t maxReplyBytes = 256 << 10; // a larger reply is not kept
     size_t maxKeptBytes = 64 << 20; // of all replies together
     int64_t retentionMillis = 24LL * 3600 * 1000; // after the call ended
--- a/testing/breaks.py
+++ b/testing/breaks.py
@@ -61,7 +61,7 @@
             target = os.path.join(folder, name)
             os.makedirs(os.path.dirname(target), exist_ok=True)
             shutil.copy2(os.path.join(TOP, name), target)
-        subprocess.run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja"], cwd=folder,
+        subprocess.run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja", "-DCMAKE_CXX_FLAGS=-w"], cwd=folder,
                        capture_output=True, check=True)
         good, output = build(folder)
         if not good:
