The proof of 'not run' now has services that run and break off

Cause: with every failure after sending called 'not run', the process case of promise 5 stayed green: its kills and freezes of routers never made an endpoint break off after it had run an order. Change: one order in eight is run by the service, which then breaks the connection.

--- a/testing/fakeendpoint.cc
+++ b/testing/fakeendpoint.cc
@@ -8,6 +8,7 @@
 //   FOREIGN        answer with the id of another request
 //   HALF_ANSWER    promise more bytes than are sent
 //   GARBAGE        answer with something that is no answer
+//   RUN_THEN_BREAK run an order, then break the connection instead of answering
 //   SLOW=<ms>      wait before answering
 
 #include <algorithm>
@@ -265,6 +266,12 @@
             order = request.query("order");
         if (request.method == "POST" && !order.empty())
             ++orders_[order];
+        if (request.body.find("RUN_THEN_BREAK") != std::string::npos) {
+            end(exchange);
+            loop_.detach(kj::evalLater([this, exchange]() { server_->breakStream(exchange); }),
+                         "break");
+            return;
+        }
         replyJson(exchange, 200,
                   { { "service", options_.service },
                     { "endpoint", options_.id },
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -302,8 +302,10 @@
 
         def send(thread, turn):
             number = f"n-{thread}-{turn}"
+            # Some services run an order and break off before they have answered.
+            note = "SLOW=20 RUN_THEN_BREAK" if turn % 8 == 7 else "SLOW=20"
             answer = order(fleet.routers[turn % 3], number, key=number, timeout=8,
-                           extra={"note": "SLOW=20"})
+                           extra={"note": note})
             if answer.ran() == "not_run":
                 told[number] = answer.error()
             return answer
