Proofs that three breaks had passed by

Cause: testing/breaks.py showed proofs that did not notice their break: a planned stop that does not wait (the streams of the test were shorter than the quiet time), a voter that votes while a leader is alive, entries of an older term committed by counting (both too seldom in random histories).

Change: silent streams in the planned stop's case; a follower that does not hear the leader beside one that does; a leader whose follower holds an older entry only.

--- a/control/testing/raft_test.cc
+++ b/control/testing/raft_test.cc
@@ -65,6 +65,57 @@
     CHECK_FALSE(cluster.speaks(old));
 }
 
+TEST_CASE("a follower that does not hear the leader cannot depose it", "[raft][promise-9]")
+{
+    Cluster cluster(3, 8);
+    REQUIRE(cluster.form());
+    const auto leads = *cluster.leader();
+    const Term term = cluster.nodes[leads]->raft->term();
+    // The third replica hears both; it has heard the leader, so it does not vote.
+    cluster.cut(leads, (leads + 1) % 3);
+    cluster.cut((leads + 1) % 3, leads);
+    for (int i = 0; i < 500; ++i) {
+        cluster.run(milliseconds(10));
+        REQUIRE(cluster.leader() == leads);
+    }
+    CHECK(cluster.nodes[leads]->raft->term() == term);
+}
+
+// A leader may not commit an entry of an older term by counting who holds it:
+// another leader could still replace it.
+TEST_CASE("an entry of an older term is committed only with one of the own", "[raft][promise-9]")
+{
+    Membership membership;
+    for (ReplicaId id = 1; id <= 3; ++id)
+        membership.members.push_back({ id, "r" + std::to_string(id), "", true });
+    StoredLog stored;
+    stored.hardState = { 2, kNoReplica };
+    stored.entries.push_back({ 1, 1, EntryKind::Membership, encodeMembership(membership) });
+    stored.entries.push_back({ 2, 2, EntryKind::Command, "older" });
+    Instant now { seconds(100) };
+    Raft raft(1, {}, stored, 1, now);
+    const auto reply = [&](RaftMessageKind kind, LogIndex index, uint64_t round) {
+        RaftMessage message;
+        message.kind = kind;
+        message.from = 2;
+        message.to = 1;
+        message.term = 3;
+        message.index = index;
+        message.round = round;
+        raft.receive(message, now);
+    };
+    now += seconds(5);
+    raft.tick(now);
+    reply(RaftMessageKind::PreVoteReply, 0, 0);
+    reply(RaftMessageKind::VoteReply, 0, 0);
+    REQUIRE(raft.role() == RaftRole::Leader);
+    REQUIRE(raft.lastIndex() == 3);
+    reply(RaftMessageKind::AppendReply, 2, 1);
+    CHECK(raft.commitIndex() == 0);
+    reply(RaftMessageKind::AppendReply, 3, 1);
+    CHECK(raft.commitIndex() == 3);
+}
+
 TEST_CASE("a replica that was cut off does not disturb the leader on its return", "[raft]")
 {
     Cluster cluster(3, 3);
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -459,7 +459,9 @@
             router = ready[(thread + turn) % len(ready)]
             if turn % 3 == 0:
                 return order(router, f"s-{thread}-{turn}", key=f"s-{thread}-{turn}")
-            return chat(router, [user(f"chat {thread} {turn}")], stream=turn % 3 == 1)
+            # Streams are silent for longer than a stopping router waits for quiet.
+            slow = " SLOW=1500" if turn % 3 == 1 else ""
+            return chat(router, [user(f"chat {thread} {turn}{slow}")], stream=turn % 3 == 1)
 
         with Load(send, threads=9) as load:
             time.sleep(1)
