--- a/routing/testing/admission_test.cc
+++ b/routing/testing/admission_test.cc
@@ -124,7 +124,7 @@
         for (size_t i = 0; i < 13; ++i)
             admitted += owner.runs(++id, Owner::name(i));
     }
-    CHECK(admitted >= 13 * 6);
+    CHECK(admitted >= size_t { 13 } * 6);
 }
 
 TEST_CASE("a new endpoint gets what it bears cold, and more with evidence",
