--- a/base/log.cc
+++ b/base/log.cc
@@ -1,9 +1,12 @@
-// Writes log lines with fmt; values are quoted only where they need it.
+// Formats log lines with fmt; values are quoted only where they need it.
 
 #include "base/log.h"
 
+#include <algorithm>
 #include <chrono>
-#include <cstdio>
+#include <cstdlib>
+#include <poll.h>
+#include <unistd.h>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -25,6 +28,57 @@
     return configuration;
 }
 
+// A pipe that polls as writable takes this much without blocking.
+static constexpr size_t kWriteBytes = 4096;
+// Waiting lines are written once they fill this much.
+static constexpr size_t kFlushBytes = 8192;
+
+static LogBuffer &logBuffer()
+{
+    static LogBuffer buffer;
+    return buffer;
+}
+
+static void emit(std::string line, LogLevel level)
+{
+    static const bool flushedAtExit = std::atexit(flushLog) == 0;
+    line += '\n';
+    const int64_t nowSeconds = std::chrono::duration_cast<std::chrono::seconds>(
+                                       std::chrono::steady_clock::now().time_since_epoch())
+                                       .count();
+    LogBuffer &buffer = logBuffer();
+    const bool urgent = level >= LogLevel::Warning;
+    buffer.add(line, urgent, nowSeconds);
+    if (urgent || buffer.waiting().size() >= kFlushBytes || !flushedAtExit)
+        flushLog();
+}
+
+bool LogBuffer::add(std::string_view line, bool urgent, int64_t nowSeconds)
+{
+    if (nowSeconds != second_) {
+        second_ = nowSeconds;
+        linesThisSecond_ = 0;
+    }
+    const bool tooMany = !urgent && linesThisSecond_ >= kMaxLinesPerSecond;
+    if (tooMany || bytes_.size() + line.size() > kMaxBytes) {
+        ++dropped_;
+        return false;
+    }
+    ++linesThisSecond_;
+    bytes_ += line;
+    return true;
+}
+
+void LogBuffer::consume(size_t bytes)
+{
+    bytes_.erase(0, bytes);
+}
+
+uint64_t LogBuffer::takeDropped()
+{
+    return std::exchange(dropped_, 0);
+}
+
 static std::string_view levelName(LogLevel level)
 {
     switch (level) {
@@ -81,16 +135,31 @@
                                       { "event", event } };
         for (const LogField &field : fields)
             line[std::string(field.key)] = field.value;
-        fmt::print(stderr, "{}\n",
-                   line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        detail::emit(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), level);
         return;
     }
     std::string line = fmt::format("{} level={} node={} event={}", detail::timestamp(),
                                    detail::levelName(level), configuration.node, event);
     for (const LogField &field : fields)
         line += fmt::format(" {}={}", field.key, detail::quoted(field.value));
-    line += '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    detail::emit(std::move(line), level);
+}
+
+void flushLog()
+{
+    detail::LogBuffer &buffer = detail::logBuffer();
+    while (!buffer.waiting().empty()) {
+        pollfd out { STDOUT_FILENO, POLLOUT, 0 };
+        if (::poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT))
+            return;
+        const size_t size = std::min(buffer.waiting().size(), detail::kWriteBytes);
+        const ssize_t written = ::write(STDOUT_FILENO, buffer.waiting().data(), size);
+        if (written <= 0)
+            return; // tried again with the next line
+        buffer.consume(written);
+    }
+    if (const uint64_t dropped = buffer.takeDropped(); dropped > 0)
+        logEvent(LogLevel::Warning, "log_lines_dropped", { { "lines", fmt::to_string(dropped) } });
 }
 
 } // namespace bamboogap
--- /dev/null
+++ b/control/deployment.cc
@@ -0,0 +1,51 @@
+// The route document and outages as a deterministic aggregate.
+
+#include "control/deployment.h"
+
+namespace bamboogap {
+
+bool Deployment::install(uint64_t version, std::string_view document)
+{
+    if (version <= version_)
+        return false;
+    version_ = version;
+    document_ = document;
+    ++revision_;
+    return true;
+}
+
+bool Deployment::setOut(std::string_view dataCentre, bool out)
+{
+    const bool changed = out ? dataCentresOut_.emplace(dataCentre).second
+                             : dataCentresOut_.erase(std::string(dataCentre)) > 0;
+    revision_ += changed;
+    return changed;
+}
+
+nlohmann::json Deployment::save() const
+{
+    return { { "revision", revision_ },
+             { "version", version_ },
+             { "document",
+               nlohmann::json::binary(std::vector<uint8_t>(document_.begin(), document_.end())) },
+             { "out", dataCentresOut_ } };
+}
+
+Result<Deployment> Deployment::load(const nlohmann::json &saved)
+{
+    Deployment deployment;
+    try {
+        deployment.revision_ = saved.at("revision").get<uint64_t>();
+        deployment.version_ = saved.at("version").get<uint64_t>();
+        const auto &document = saved.at("document").get_binary();
+        deployment.document_.assign(document.begin(), document.end());
+        deployment.dataCentresOut_ = saved.at("out").get<std::set<std::string>>();
+    } catch (const nlohmann::json::exception &problem) {
+        return failure(ErrorKind::StorageDamaged,
+                       std::string("the saved deployment cannot be read: ") + problem.what(),
+                       "move the data folder away and let this replica join again");
+    }
+    return deployment;
+}
+
+} // namespace bamboogap
--- a/control/membership.cc
+++ b/control/membership.cc
@@ -73,6 +73,28 @@
     return std::nullopt;
 }
 
+std::optional<Membership> withoutLostVoter(const Membership &current, size_t fullVoters,
+                                           const std::function<bool(ReplicaId)> &isLost,
+                                           const std::function<LogIndex(ReplicaId)> &matchIndex,
+                                           LogIndex commitIndex)
+{
+    const bool replacementWaits = std::any_of(
+            current.members.begin(), current.members.end(), [&](const Replica &member) {
+                return !member.voter && !isLost(member.id)
+                        && matchIndex(member.id) + kCaughtUpWithin >= commitIndex;
+            });
+    if (current.voterCount() < fullVoters || !replacementWaits)
+        return std::nullopt;
+    for (const Replica &member : current.members) {
+        if (!member.voter || !isLost(member.id))
+            continue;
+        Membership next = current;
+        std::erase_if(next.members, [&](const Replica &other) { return other.id == member.id; });
+        return next;
+    }
+    return std::nullopt;
+}
+
 Result<Membership> membershipWithout(const Membership &current, std::string_view name,
                                      ReplicaId leader)
 {
--- a/control/membership.h
+++ b/control/membership.h
@@ -34,6 +34,15 @@
                                          const std::function<LogIndex(ReplicaId)> &matchIndex,
                                          LogIndex commitIndex);
 
+// For groups that heal without an operator: the membership without one voter that
+// has been lost, once a caught-up replica waits to take its place and the group
+// has its full number of voters. `isLost` tells whether a voter has been silent for
+// too long; nothing if no voter is to be replaced now.
+std::optional<Membership> withoutLostVoter(const Membership &current, size_t fullVoters,
+                                           const std::function<bool(ReplicaId)> &isLost,
+                                           const std::function<LogIndex(ReplicaId)> &matchIndex,
+                                           LogIndex commitIndex);
+
 // The membership without the named replica. NotFound if there is none;
 // Conflict if it is the last voter or leads the group.
 Result<Membership> membershipWithout(const Membership &current, std::string_view name,
--- a/control/raft.cc
+++ b/control/raft.cc
@@ -246,6 +246,12 @@
     return found == progress_.end() ? 0 : found->second.match;
 }
 
+Instant Raft::lastContact(ReplicaId member) const
+{
+    const auto found = progress_.find(member);
+    return found == progress_.end() ? Instant {} : found->second.ackedSent;
+}
+
 Term Raft::termAt(LogIndex index) const
 {
     if (index == snapshotIndex_)
--- a/control/raft.h
+++ b/control/raft.h
@@ -206,6 +206,11 @@
     bool membershipCommitted() const { return memberships_.rbegin()->first <= commit_; }
     // Highest index that a member is known to hold; 0 unless leading.
     LogIndex matchIndex(ReplicaId member) const;
+    // When the newest round that a member has acknowledged was sent; the epoch of
+    // the clock unless leading.
+    Instant lastContact(ReplicaId member) const;
+    // When this replica last heard from a leader; its start if it never did.
+    Instant heardLeader() const { return heardLeader_; }
     size_t entryCount() const { return entries_.size(); }
     // The entries after the snapshot, in order.
     const std::vector<LogEntry> &entries() const { return entries_; }
--- a/control/state.cc
+++ b/control/state.cc
@@ -100,6 +100,18 @@
     return { { "op", "expire" }, { "now", command.nowMillis } };
 }
 
+json describe(const InstallRoutesCommand &command)
+{
+    return { { "op", "routes" },
+             { "version", command.version },
+             { "document", binary(command.document) } };
+}
+
+json describe(const SetOutageCommand &command)
+{
+    return { { "op", "outage" }, { "name", command.dataCentre }, { "out", command.out } };
+}
+
 Result<Command> commandFromJson(const json &value)
 {
     const auto op = value.at("op").get<std::string>();
@@ -148,6 +160,15 @@
     }
     if (op == "expire")
         return ExpireCommand { value.at("now").get<int64_t>() };
+    if (op == "routes") {
+        const auto &document = value.at("document").get_binary();
+        return InstallRoutesCommand { value.at("version").get<uint64_t>(),
+                                      std::string(document.begin(), document.end()) };
+    }
+    if (op == "outage") {
+        return SetOutageCommand { value.at("name").get<std::string>(),
+                                  value.at("out").get<bool>() };
+    }
     return failure(ErrorKind::StorageDamaged, fmt::format("unknown command '{}' in the log", op),
                    "run the version that wrote the log, or a newer one");
 }
@@ -252,12 +273,23 @@
     return Done { true };
 }
 
+CommandAnswer ControlState::perform(const InstallRoutesCommand &command)
+{
+    return Done { deployment_.install(command.version, command.document) };
+}
+
+CommandAnswer ControlState::perform(const SetOutageCommand &command)
+{
+    return Done { deployment_.setOut(command.dataCentre, command.out) };
+}
+
 std::string ControlState::save() const
 {
     const json value { { "lists", operatorLists_.save() },
                        { "calls", calls_.save() },
                        { "suspects", suspects_.save() },
-                       { "view", toJson(view_) } };
+                       { "view", toJson(view_) },
+                       { "deployment", deployment_.save() } };
     const std::vector<uint8_t> bytes = json::to_cbor(value);
     return std::string(bytes.begin(), bytes.end());
 }
@@ -279,6 +311,12 @@
         state.calls_ = std::move(*calls);
         state.suspects_ = Suspects::load(value.at("suspects"), limits.suspects);
         state.view_ = viewFromJson(value.at("view"));
+        if (value.contains("deployment")) { // absent in files of version 0.1
+            auto deployment = Deployment::load(value.at("deployment"));
+            if (!deployment)
+                return tl::unexpected(deployment.error());
+            state.deployment_ = std::move(*deployment);
+        }
     } catch (const json::exception &problem) {
         return unreadable("the saved state", problem.what());
     }
--- a/control/state.h
+++ b/control/state.h
@@ -14,6 +14,7 @@
 
 #include "base/error.h"
 #include "control/calls.h"
+#include "control/deployment.h"
 #include "control/lists.h"
 #include "control/suspects.h"
 #include "fleet/view.h"
@@ -79,9 +80,24 @@
     int64_t nowMillis = 0;
 };
 
+// Installs a route document; performed is false if a newer one is in force.
+struct InstallRoutesCommand
+{
+    uint64_t version = 0;
+    std::string document;
+};
+
+// Takes a data centre out of service for direct routers, or back.
+struct SetOutageCommand
+{
+    std::string dataCentre;
+    bool out = false;
+};
+
 using Command
         = std::variant<ChangeListsCommand, StartCallCommand, FinishCallCommand, SetViewCommand,
-                       StrikeCommand, RetractCommand, AbsolveCommand, ExpireCommand>;
+                       StrikeCommand, RetractCommand, AbsolveCommand, ExpireCommand,
+                       InstallRoutesCommand, SetOutageCommand>;
 
 struct Done
 {
@@ -113,6 +129,7 @@
     const View &view() const { return view_; }
     const Suspects &suspects() const { return suspects_; }
     const CallRecords &calls() const { return calls_; }
+    const Deployment &deployment() const { return deployment_; }
 
     std::string save() const;
     // StorageDamaged if the bytes are no saved state.
@@ -127,12 +144,15 @@
     CommandAnswer perform(const RetractCommand &command);
     CommandAnswer perform(const AbsolveCommand &command);
     CommandAnswer perform(const ExpireCommand &command);
+    CommandAnswer perform(const InstallRoutesCommand &command);
+    CommandAnswer perform(const SetOutageCommand &command);
 
     StateLimits limits_;
     OperatorLists operatorLists_;
     CallRecords calls_;
     Suspects suspects_;
     View view_;
+    Deployment deployment_;
 };
 
 } // namespace bamboogap
--- /dev/null
+++ b/fleet/roster.cc
@@ -0,0 +1,212 @@
+// Ordering, silence and merging of endpoint records.
+
+#include "fleet/roster.h"
+
+#include <algorithm>
+
+namespace bamboogap {
+
+namespace {
+
+// A departure is remembered for as long as a delayed heartbeat may come.
+constexpr Duration kRememberGone = std::chrono::seconds(60);
+// An endpoint that answered this router so lately is alive, whatever replicas say.
+constexpr Duration kAnswerProof = std::chrono::seconds(5);
+// Without any word from a replica an endpoint counts as silent after this.
+constexpr Duration kNoWord = std::chrono::seconds(12);
+// Warm-up ends that differ by less are the same one, heard with other delays.
+constexpr Duration kSameWarmup = std::chrono::milliseconds(500);
+
+bool sameContent(const EndpointRecord &a, const EndpointRecord &b)
+{
+    return a.bornMillis == b.bornMillis && a.service == b.service && a.address == b.address
+            && a.dataCentre == b.dataCentre && a.slots == b.slots && a.state == b.state
+            && a.heard == b.heard && a.models == b.models;
+}
+
+} // namespace
+
+bool isLater(const EndpointRecord &candidate, const EndpointRecord &known)
+{
+    if (candidate.bornMillis != known.bornMillis)
+        return candidate.bornMillis > known.bornMillis;
+    if (known.state == EndpointState::Gone || candidate.state == EndpointState::Gone)
+        return known.state != EndpointState::Gone;
+    return candidate.sequence > known.sequence;
+}
+
+HeardRoster::HeardRoster(uint64_t epoch, Duration silence)
+    : epoch_(epoch)
+    , silence_(silence)
+{
+}
+
+void HeardRoster::heartbeat(EndpointRecord record, Instant now)
+{
+    record.heard = true;
+    const auto found = entries_.find(record.id);
+    const bool known = found != entries_.end();
+    if (known && !isLater(record, found->second.record))
+        return;
+    Entry &entry = known ? found->second : entries_[record.id];
+    const Instant coldUntil = now + std::chrono::milliseconds(record.warmupLeftMillis);
+    const bool cold = record.warmupLeftMillis > 0;
+    const bool warmupMoved = cold
+            && (coldUntil > entry.coldUntil + kSameWarmup || coldUntil < entry.coldUntil - kSameWarmup);
+    const bool endedEarly = !cold && entry.coldUntil > now + kSameWarmup;
+    if (!known || !sameContent(record, entry.record) || warmupMoved || endedEarly)
+        entry.changedAt = ++version_;
+    entry.coldUntil = cold ? coldUntil : now;
+    entry.heardAt = now;
+    entry.record = std::move(record);
+}
+
+void HeardRoster::leave(std::string_view id, int64_t wallMillis, Instant now)
+{
+    const auto found = entries_.find(id);
+    Entry &entry = found == entries_.end() ? entries_[std::string(id)] : found->second;
+    if (found == entries_.end()) {
+        entry.record.id = id;
+        entry.record.bornMillis = wallMillis;
+    }
+    entry.record.state = EndpointState::Gone;
+    entry.heardAt = now;
+    entry.changedAt = ++version_;
+}
+
+void HeardRoster::tick(Instant now)
+{
+    for (auto item = entries_.begin(); item != entries_.end();) {
+        Entry &entry = item->second;
+        if (now - entry.heardAt > kRememberGone) {
+            item = entries_.erase(item);
+            continue;
+        }
+        if (entry.record.heard && entry.record.state != EndpointState::Gone
+            && now - entry.heardAt > silence_) {
+            entry.record.heard = false;
+            entry.changedAt = ++version_;
+        }
+        ++item;
+    }
+}
+
+RosterChanges HeardRoster::changesSince(uint64_t epoch, uint64_t version, Instant now) const
+{
+    RosterChanges changes;
+    changes.epoch = epoch_;
+    changes.version = version_;
+    changes.full = epoch != epoch_;
+    for (const auto &[id, entry] : entries_) {
+        if (!changes.full && entry.changedAt <= version)
+            continue;
+        changes.records.push_back(entry.record);
+        changes.records.back().warmupLeftMillis = static_cast<uint32_t>(
+                std::max<int64_t>(0, toMillis(entry.coldUntil - now)));
+    }
+    return changes;
+}
+
+void MergedRoster::apply(std::string_view replica, const RosterChanges &changes, Instant now)
+{
+    if (changes.full) {
+        for (auto &[id, endpoint] : endpoints_)
+            endpoint.heardBy.erase(std::string(replica));
+    }
+    for (const EndpointRecord &record : changes.records) {
+        const auto [item, added] = endpoints_.try_emplace(record.id);
+        Endpoint &endpoint = item->second;
+        if (added) {
+            endpoint.key = endpointKey(record.id);
+            endpoint.firstSeen = now;
+        }
+        const bool departsBeforeBirthIsKnown = !added && record.state == EndpointState::Gone
+                && record.bornMillis > endpoint.record.bornMillis;
+        if (departsBeforeBirthIsKnown) {
+            endpoint.record.state = EndpointState::Gone;
+            endpoint.record.bornMillis = record.bornMillis;
+            ++version_;
+        } else if (added || isLater(record, endpoint.record)) {
+            endpoint.record = record;
+            endpoint.coldUntil = now + std::chrono::milliseconds(record.warmupLeftMillis);
+            ++version_;
+        }
+        if (record.bornMillis >= endpoint.record.bornMillis) {
+            endpoint.heardBy[std::string(replica)] = record.heard;
+            if (record.heard)
+                endpoint.lastProof = now;
+        }
+        if (record.address.empty())
+            continue; // a departure of an endpoint that the replica never heard
+        std::string &owner = addressOwners_[record.address];
+        const Endpoint *holder = find(owner);
+        const auto age = [](const Endpoint &of) {
+            return std::pair { of.record.bornMillis, of.firstSeen };
+        };
+        if (!holder || holder->record.address != record.address || age(endpoint) > age(*holder))
+            owner = record.id;
+    }
+}
+
+void MergedRoster::replicaLost(std::string_view replica)
+{
+    for (auto &[id, endpoint] : endpoints_)
+        endpoint.heardBy.erase(std::string(replica));
+}
+
+void MergedRoster::answered(std::string_view id, Instant now)
+{
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end())
+        found->second.lastProof = now;
+}
+
+void MergedRoster::misdirected(std::string_view id)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end() || found->second.record.state == EndpointState::Gone)
+        return;
+    found->second.record.state = EndpointState::Gone;
+    ++version_;
+}
+
+void MergedRoster::tick(Instant now)
+{
+    for (auto item = endpoints_.begin(); item != endpoints_.end();) {
+        const Endpoint &endpoint = item->second;
+        if (now - endpoint.lastProof > kRememberGone && now - endpoint.firstSeen > kRememberGone) {
+            addressOwners_.erase(endpoint.record.address);
+            item = endpoints_.erase(item);
+            ++version_;
+        } else {
+            ++item;
+        }
+    }
+}
+
+const MergedRoster::Endpoint *MergedRoster::find(std::string_view id) const
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+bool MergedRoster::isSilent(const Endpoint &endpoint, Instant now) const
+{
+    if (now - endpoint.lastProof < kAnswerProof)
+        return false;
+    const bool heard = std::any_of(endpoint.heardBy.begin(), endpoint.heardBy.end(),
+                                   [](const auto &item) { return item.second; });
+    if (heard)
+        return false;
+    return !endpoint.heardBy.empty() || now - endpoint.lastProof > kNoWord;
+}
+
+bool MergedRoster::mayUse(const Endpoint &endpoint, Instant now) const
+{
+    if (endpoint.record.state != EndpointState::Ready || isSilent(endpoint, now))
+        return false;
+    const auto owner = addressOwners_.find(endpoint.record.address);
+    return owner == addressOwners_.end() || owner->second == endpoint.record.id;
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/fleet/routerboard.h
@@ -0,0 +1,67 @@
+// What a control replica knows of the direct routers: which are alive, and the sum
+// of what they have under way at each endpoint.
+
+#ifndef BAMBOOGAP_FLEET_ROUTERBOARD_H
+#define BAMBOOGAP_FLEET_ROUTERBOARD_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "fleet/announcement.h"
+
+namespace bamboogap {
+
+// What one router, or several together, have under way at an endpoint.
+struct EndpointUse
+{
+    EndpointKey key = 0;
+    uint32_t running = 0;
+    uint32_t unreadTokens = 0; // of prompts whose first token has not come
+
+    bool operator==(const EndpointUse &) const = default;
+};
+
+struct RouterReport
+{
+    std::string name;
+    uint64_t incarnation = 0; // a later process of the router has a higher one
+    std::string dataCentre;
+    uint64_t routesVersion = 0; // that it acts by
+    std::vector<EndpointUse> uses;
+};
+
+class RouterBoard
+{
+public:
+    // A router that said nothing for this long no longer counts: three times the
+    // longest interval at which routers report.
+    static constexpr Duration kAlive = std::chrono::seconds(3);
+
+    void report(RouterReport report, Instant now);
+    // The router ends; its last uses no longer count.
+    void leave(std::string_view name);
+
+    // Sums over all live routers but the one named.
+    std::vector<EndpointUse> usesOfOthers(std::string_view name, Instant now) const;
+    uint32_t aliveCount(Instant now) const;
+    // Position of a router among the live ones, by name.
+    uint32_t rankOf(std::string_view name, Instant now) const;
+
+    struct Entry
+    {
+        RouterReport report;
+        Instant heardAt {};
+    };
+    const std::map<std::string, Entry, std::less<>> &routers() const { return routers_; }
+
+private:
+    std::map<std::string, Entry, std::less<>> routers_;
+};
+
+} // namespace bamboogap
+
+#endif
--- a/node/bamboogapd.cc
+++ b/node/bamboogapd.cc
@@ -7,6 +7,8 @@
 #include <tclap/CmdLine.h>
 
 #include "node/daemon.h"
+#include "node/directdaemon.h"
+#include "platform/platform.h"
 
 namespace {
 
@@ -30,13 +32,17 @@
                             "also a control replica.",
                             ' ', kVersion);
         TCLAP::ValueArg<std::string> check("", "check", "Check a settings file and exit", false, "",
-                                           "file");
-        TCLAP::ValueArg<std::string> settings("s", "settings", "Settings file to run with", false,
-                                              "", "file");
-        line.xorAdd(check, settings);
+                                           "file", line);
+        TCLAP::ValueArg<std::string> settings(
+                "s", "settings", "Settings file to run with; default: the one the platform names",
+                false, bamboogap::platform::settingsFile(), "file", line);
         line.parse(argc, argv);
         checkOnly = check.isSet();
         file = checkOnly ? check.getValue() : settings.getValue();
+        if (file.empty()) {
+            fmt::print(stderr, "no settings file is named; give --settings or --check\n");
+            return EXIT_FAILURE;
+        }
     } catch (const TCLAP::ArgException &problem) {
         fmt::print(stderr, "{}: {}; see --help\n", problem.argId(), problem.error());
         return EXIT_FAILURE;
@@ -48,7 +54,10 @@
         fmt::print("{}: settings are valid\n", file);
         return EXIT_SUCCESS;
     }
-    auto daemon = bamboogap::Daemon::start(std::move(*settings));
+    const bool direct = settings->forwarding == bamboogap::Forwarding::Direct;
+    auto daemon = direct ? bamboogap::startDirectDaemon(std::move(*settings), file,
+                                                        bamboogap::platform::dialect())
+                         : bamboogap::Daemon::start(std::move(*settings));
     if (!daemon)
         return printProblems({ daemon.error() });
     (*daemon)->run();
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -2,7 +2,9 @@
 
 #include "node/controltask.h"
 
+#include <algorithm>
 #include <random>
+#include <set>
 
 #include <fmt/format.h>
 
@@ -15,7 +17,9 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(20);
 constexpr Duration kCoordinate = std::chrono::milliseconds(100);
-constexpr Duration kAskToJoin = std::chrono::seconds(1);
+constexpr Duration kAskToJoin = std::chrono::milliseconds(500);
+// A member that hears from no leader for this long may have been removed.
+constexpr Duration kLeaderSilence = std::chrono::seconds(2);
 constexpr Duration kExpire = std::chrono::seconds(5);
 constexpr Duration kMessageLimit = std::chrono::seconds(1);
 constexpr Duration kSnapshotLimit = std::chrono::seconds(30);
@@ -89,6 +93,13 @@
     return !failed_ && raft_->maySpeak(BootClock::now());
 }
 
+bool ControlTask::isCurrent() const
+{
+    if (failed_ || raft_->leader() == kNoReplica)
+        return false;
+    return maySpeak() || BootClock::now() - raft_->heardLeader() < settings_.timing.electionMin;
+}
+
 std::string ControlTask::leaderAddress() const
 {
     const Replica *leader = raft_->membership().find(raft_->leader());
@@ -353,6 +364,7 @@
         rejectPending();
     if (leads && !coordinator_ && maySpeak()) {
         coordinatorTerm_ = raft_->term();
+        leadsSince_ = BootClock::now();
         viewProposal_ = 0;
         coordinator_ = std::make_unique<Coordinator>(settings_.coordinator, coordinatorTerm_,
                                                      state_.view(), BootClock::now());
@@ -379,40 +391,100 @@
         }
     }
     const auto match = [this](ReplicaId id) { return raft_->matchIndex(id); };
-    if (auto next = nextMembership(raft_->membership(), joining_, match, raft_->commitIndex())) {
+    auto next = nextMembership(raft_->membership(), joining_, match, raft_->commitIndex());
+    if (next && settings_.selfManaged && next->voterCount() > settings_.fullVoters)
+        next.reset(); // a lost voter has to give way first
+    if (next) {
         if (raft_->proposeMembership(*next, now)) {
             logEvent(LogLevel::Info, "membership_proposed",
                      { { "members", fmt::to_string(next->members.size()) },
                        { "voters", fmt::to_string(next->voterCount()) } });
         }
     }
+    replaceLostVoter(now);
     drain();
 }
 
-// A replica that the operators removed does not ask again.
+void ControlTask::replaceLostVoter(Instant now)
+{
+    if (!settings_.selfManaged || now - leadsSince_ < settings_.voterLost)
+        return;
+    const auto isLost = [&](ReplicaId id) {
+        return id != raft_->id() && now - raft_->lastContact(id) > settings_.voterLost;
+    };
+    const auto match = [this](ReplicaId id) { return raft_->matchIndex(id); };
+    const auto next = withoutLostVoter(raft_->membership(), settings_.fullVoters, isLost, match,
+                                       raft_->commitIndex());
+    if (next && raft_->proposeMembership(*next, now)) {
+        logEvent(LogLevel::Warning, "lost_voter_removed",
+                 { { "voters", fmt::to_string(next->voterCount()) },
+                   { "silent_ms", fmt::to_string(toMillis(settings_.voterLost)) } });
+    }
+}
+
+// In a group that operators manage, a replica that they removed does not ask again.
 void ControlTask::askToJoin()
 {
     if (failed_)
         return;
+    formGroup();
     const Replica *self = raft_->membership().find(raft_->id());
     wasMember_ = wasMember_ || self;
+    const bool cutOff = settings_.selfManaged && raft_->role() != RaftRole::Leader
+            && BootClock::now() - raft_->heardLeader() > kLeaderSilence;
     const bool settled = self && self->voter && self->address == settings_.address;
-    if (settled || (wasMember_ && !self))
+    if ((settled && !cutOff) || (wasMember_ && !self && !settings_.selfManaged))
         return;
-    std::vector<std::string> targets = settings_.peers;
+    std::set<std::string> targets(settings_.peers.begin(), settings_.peers.end());
     if (!leaderAddress().empty())
         targets = { leaderAddress() };
+    if (!joinTarget_.empty())
+        targets.insert(joinTarget_);
+    if (cutOff) {
+        for (const Replica &member : raft_->membership().members)
+            targets.insert(member.address);
+    }
+    targets.erase(settings_.address);
     for (const std::string &address : targets) {
         auto request = peers_.node(address, Lane::Control).joinRequest();
         request.setId(raft_->id());
         request.setName(settings_.name);
         request.setAddress(settings_.address);
-        loop_.detach(loop_.within(kMessageLimit, request.send().ignoreResult())
-                             .catch_([](kj::Exception &&) {}),
+        loop_.detach(loop_.within(kMessageLimit, request.send())
+                             .then([this](auto &&response) {
+                                 const auto leader = response.getLeader();
+                                 if (!response.getAnswered() && leader.getKnown())
+                                     joinTarget_ = std::string(toView(leader.getAddress()));
+                             })
+                             .catch_([this, address](kj::Exception &&problem) {
+                                 if (problem.getType() == kj::Exception::Type::OVERLOADED)
+                                     peers_.drop(address, Lane::Control);
+                             }),
                      "join");
     }
 }
 
+void ControlTask::formGroup()
+{
+    if (!settings_.selfManaged || !settings_.firstStart || forming_ || inGroup()
+        || settings_.peers.empty()
+        || *std::min_element(settings_.peers.begin(), settings_.peers.end()) != settings_.address)
+        return;
+    forming_ = true;
+    loop_.detach(bootstrap().then([this](Result<void> formed) {
+        forming_ = false;
+        if (!formed) {
+            logEvent(LogLevel::Warning, "group_not_formed",
+                     { { "reason", formed.error().message },
+                       { "remedy", formed.error().remedy } });
+            return;
+        }
+        logEvent(LogLevel::Info, "group_formed",
+                 { { "replica", fmt::format("{:016x}", raft_->id()) } });
+    }),
+                 "form group");
+}
+
 void ControlTask::compact()
 {
     if (raft_->entryCount() < settings_.snapshotEvery || applied_ <= raft_->snapshotIndex())
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -34,8 +34,20 @@
     StateLimits limits;
     size_t snapshotEvery = 2000; // entries
     Duration heartbeat = std::chrono::milliseconds(500); // of the routers
+    // The group forms and heals without an operator: see Formation below.
+    bool selfManaged = false;
+    // First start of the whole fleet: a group may be formed.
+    bool firstStart = false;
+    size_t fullVoters = 5;
+    // A voter that was silent for this long gives way to a waiting replica.
+    Duration voterLost = std::chrono::seconds(6);
 };
 
+// A self-managed group is formed by one replica, the one whose address is the
+// lowest of `peers`, at the first start of the fleet, after every replica in
+// `peers` has said that it belongs to no group. All others ask to join, as does a
+// replica that has heard from no leader for a while. A voter that stays silent is
+// removed when another replica has caught up and waits for its vote.
 class ControlTask
 {
 public:
@@ -53,6 +65,14 @@
     // Commits a command and gives its answer; NoLeader if it did not get through.
     kj::Promise<Result<CommandAnswer>> command(const Command &command);
 
+    // The deployment as this replica has applied it. Only while maySpeak() is it
+    // sure to be the newest.
+    const Deployment &deployment() const { return state_.deployment(); }
+    // True if this replica leads or has heard from a leader a moment ago, so that
+    // its deployment() lags by a heartbeat at most.
+    bool isCurrent() const;
+    const Membership &membership() const { return raft_->membership(); }
+
     // To be called only while maySpeak().
     HeartbeatReply heartbeat(const Heartbeat &heartbeat);
 
@@ -64,6 +84,9 @@
     // if any of the peers belongs to a group, PeerFailed if one does not answer.
     kj::Promise<Result<void>> bootstrap();
 
+    // The replicas to join, after the settings changed.
+    void setPeers(std::vector<std::string> peers) { settings_.peers = std::move(peers); }
+
     // Hands over leadership before a planned stop.
     void handOver();
 
@@ -92,6 +115,8 @@
     void followRole();
     void coordinate();
     void askToJoin();
+    void formGroup();
+    void replaceLostVoter(Instant now);
     void compact();
     void stopReplica(const Error &error);
     void rejectPending();
@@ -104,6 +129,7 @@
     ControlState state_;
     std::unique_ptr<Coordinator> coordinator_;
     Term coordinatorTerm_ = 0;
+    Instant leadsSince_ {}; // meaningful while leading
     LogIndex applied_ = 0;
     LogIndex viewProposal_ = 0; // not applied yet
     bool pokeQueued_ = false;
@@ -111,10 +137,12 @@
     bool draining_ = false;
     bool failed_ = false;
     bool wasMember_ = false;
+    bool forming_ = false;
     std::map<LogIndex, Pending> pending_;
     std::map<ReplicaId, std::string> addresses_;
     std::map<ReplicaId, int> unanswered_; // messages in flight
     std::map<ReplicaId, Joining> joining_;
+    std::string joinTarget_; // the leader that a replica named when asked to join
 };
 
 } // namespace bamboogap
--- a/node/daemon.cc
+++ b/node/daemon.cc
@@ -31,6 +31,7 @@
 
 namespace {
 
+constexpr Duration kFlushLog = std::chrono::milliseconds(250);
 constexpr Duration kLeaveLimit = std::chrono::seconds(5);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
 // Nothing may have been open for this long before the process ends, so that a
@@ -109,8 +110,10 @@
                    { "operators", settings_.listen.operators },
                    { "peers", settings_.listen.peers },
                    { "replica", replica_ ? "yes" : "no" } });
+        loop_.every(kFlushLog, [] { flushLog(); });
         loop_.run(stopped.promise.then([this]() { return stop(); }));
         logEvent(LogLevel::Info, "stopped", {});
+        flushLog();
     }
 
     ~DaemonImpl() noexcept(false) override
--- /dev/null
+++ b/node/dialect.h
@@ -0,0 +1,111 @@
+// The external interface that a direct fleet speaks, as hooks.
+//
+// A dialect translates between HTTP messages and the project's own types, and does
+// nothing else: it keeps no state and decides nothing. The daemon is given one at
+// its start; platform/ holds the one in use.
+
+#ifndef BAMBOOGAP_NODE_DIALECT_H
+#define BAMBOOGAP_NODE_DIALECT_H
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "fleet/roster.h"
+#include "node/httpserver.h"
+#include "routing/prefixcache.h"
+#include "routing/routetable.h"
+
+namespace bamboogap {
+
+// What a caller's request says about itself.
+struct CallerRequest
+{
+    std::string id; // of this attempt of the caller
+    std::string host;
+    std::string accessKey; // empty if there is none
+    std::optional<Duration> remaining; // how long the caller will wait
+    std::string model; // empty for calls of plain services
+    uint32_t promptTokens = 0;
+    uint32_t maxOutputTokens = 0;
+    std::vector<PrefixPart> prompt;
+    std::string lastEventId; // of a stream that the caller resumes
+};
+
+// What the router adds to a request when it sends it to an endpoint.
+struct Dispatch
+{
+    std::string_view endpointId; // another endpoint has to refuse the request
+    std::string_view workspace; // empty for anonymous requests
+    Duration remaining {};
+    std::optional<uint32_t> priority; // 0 is the most urgent
+    std::string_view lastEventId; // empty unless a stream is resumed
+};
+
+// What an endpoint's answer says beside its status and body.
+struct AnswerHead
+{
+    std::string requestId; // the one it echoes; empty if none
+    std::string endpointId; // of the endpoint that answered; empty if not told
+    bool isSigned = false; // carries the endpoint's signature
+    bool notRun = false; // the endpoint states that it did not run the request
+    bool misdirected = false; // another endpoint has the address now
+    bool encoded = false; // the body was encoded on the way
+    std::optional<Duration> keepAlive; // idle time after which it closes
+};
+
+// What endpoints and operators ask of the control plane.
+struct HeartbeatOrder
+{
+    EndpointRecord record;
+};
+struct LeaveOrder
+{
+    std::string endpointId;
+};
+struct InstallRoutesOrder
+{
+    uint64_t version = 0;
+};
+struct ReadRoutesOrder
+{
+};
+struct OutageOrder
+{
+    std::string dataCentre;
+    bool out = false;
+};
+using ControlOrder
+        = std::variant<HeartbeatOrder, LeaveOrder, InstallRoutesOrder, ReadRoutesOrder, OutageOrder>;
+
+struct Dialect
+{
+    // InvalidRequest names the header that is wrong.
+    std::function<Result<CallerRequest>(const HttpRequest &)> readCaller;
+    // The headers of a request as it goes to an endpoint.
+    std::function<std::vector<HttpHeader>(const HttpRequest &, const Dispatch &)> endpointHeaders;
+    std::function<AnswerHead(int status, std::span<const HttpHeader>)> readAnswer;
+    // The headers of an endpoint's answer as they go to the caller.
+    std::function<std::vector<HttpHeader>(std::span<const HttpHeader>)> callerHeaders;
+    // The headers of a refusal or failure of the router itself.
+    std::function<std::vector<HttpHeader>(std::string_view requestId,
+                                          std::optional<Duration> retryAfter)>
+            refusalHeaders;
+    std::function<bool(const HttpRequest &)> isReadinessProbe;
+    // NotFound if the path is none of the control plane's, InvalidRequest if the
+    // content cannot be read.
+    std::function<Result<ControlOrder>(const HttpRequest &)> readOrder;
+    // InvalidRequest names the place that is wrong.
+    std::function<Result<RouteTable>(std::string_view document)> parseRoutes;
+};
+
+} // namespace bamboogap
+
+#endif
--- /dev/null
+++ b/node/directdaemon.cc
@@ -0,0 +1,410 @@
+// The tasks of a direct fleet's node, its reload and its planned stop.
+//
+// A planned stop cuts off no request: the readiness probe fails at once, answers
+// tell callers to close their connections, requests that still come are served, and
+// the process ends when the balancer has had time to turn away and nothing is open,
+// or just before the platform would kill it.
+
+#include "node/directdaemon.h"
+
+#include <csignal>
+#include <filesystem>
+
+#include <fmt/format.h>
+#include <kj/debug.h>
+
+#include "base/log.h"
+#include "node/controltask.h"
+#include "node/directrouter.h"
+#include "node/httpserver.h"
+#include "node/metrics.h"
+#include "node/replicafront.h"
+#include "node/synctask.h"
+
+namespace bamboogap {
+
+namespace {
+
+constexpr Duration kFlushLog = std::chrono::milliseconds(250);
+constexpr Duration kWatchSettings = std::chrono::seconds(1);
+constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+constexpr Duration kHandOver = std::chrono::milliseconds(300);
+// The balancer probes every second and turns away after two misses; a connection
+// that it made just before may bring a request a little later.
+constexpr Duration kBalancerTurnsAway = std::chrono::milliseconds(3500);
+// Nothing may have been open for this long before the process ends.
+constexpr Duration kQuiet = std::chrono::milliseconds(300);
+// Share of the time until the platform kills the process that a stop uses.
+constexpr double kStopShare = 0.9;
+// A connection is closed when it idled this much longer than callers may reuse it.
+constexpr double kIdleMargin = 1.2;
+
+class DirectDaemon final : public Daemon
+{
+public:
+    DirectDaemon(Settings settings, std::string settingsFile, Dialect dialect)
+        : settings_(std::move(settings))
+        , settingsFile_(std::move(settingsFile))
+        , dialect_(std::move(dialect))
+        , peers_(loop_, settings_.fleetKey)
+    {
+    }
+
+    Result<void> open()
+    {
+        if (settings_.dataFolder) {
+            if (auto opened = openReplica(); !opened)
+                return opened;
+        }
+        if (!settings_.listen.callers.empty()) {
+            if (auto opened = openRouter(); !opened)
+                return opened;
+        }
+        return openPort(settings_.listen.operators, operatorPort_,
+                        [this](ExchangeId id, const HttpRequest &request) {
+                            operators(id, request);
+                        });
+    }
+
+    void run() override
+    {
+        auto stopped = kj::newPromiseAndFulfiller<void>();
+        stopAsked_ = kj::mv(stopped.fulfiller);
+        watchSignals();
+        settingsTime_ = settingsTime();
+        loop_.every(kFlushLog, [] { flushLog(); });
+        loop_.every(kWatchSettings, [this] { watchSettings(); });
+        if (replica_) {
+            replica_->start();
+            front_->start();
+        }
+        if (router_) {
+            router_->start();
+            sync_->start();
+        }
+        logEvent(LogLevel::Info, "started",
+                 { { "callers", settings_.listen.callers },
+                   { "control", settings_.listen.control },
+                   { "peers", settings_.listen.peers },
+                   { "seeds", fmt::format("{}", fmt::join(settings_.direct.seeds, ",")) },
+                   { "first_start", settings_.direct.firstStart ? "yes" : "no" } });
+        loop_.run(stopped.promise.then([this]() { return stop(); }));
+        logEvent(LogLevel::Info, "stopped", {});
+        flushLog();
+    }
+
+    ~DirectDaemon() noexcept(false) override
+    {
+        for (event *signal : signals_)
+            event_free(signal);
+    }
+
+private:
+    Result<void> openReplica()
+    {
+        auto disk = realDisk(*settings_.dataFolder);
+        if (!disk)
+            return tl::unexpected(disk.error());
+        ControlSettings control;
+        control.name = settings_.name;
+        control.address = settings_.listen.peers;
+        control.peers = settings_.controlReplicas;
+        control.timing = settings_.raft;
+        control.coordinator = settings_.coordinator;
+        control.limits = settings_.state;
+        control.snapshotEvery = settings_.snapshotEvery;
+        control.selfManaged = true;
+        control.firstStart = settings_.direct.firstStart;
+        auto replica = ControlTask::open(loop_, peers_, std::move(control), std::move(*disk));
+        if (!replica)
+            return tl::unexpected(replica.error());
+        replica_ = std::move(*replica);
+        front_ = std::make_unique<ReplicaFront>(
+                loop_, peers_, *replica_, dialect_,
+                ReplicaFront::Settings { settings_.listen.peers,
+                                         settings_.coordinator.endpoints.silence },
+                metrics_);
+        auto node = front_->makeServer();
+        peers_.setSelf(settings_.listen.peers, node);
+        auto server = PeerServer::listen(loop_, *parseSocketAddress(settings_.listen.peers),
+                                         settings_.fleetKey, kj::mv(node));
+        if (!server)
+            return tl::unexpected(server.error());
+        peerServer_ = std::move(*server);
+        auto opened = openPort(settings_.listen.control, controlPort_,
+                               [this](ExchangeId id, const HttpRequest &request) {
+                                   front_->handle(id, request);
+                               });
+        front_->setServer(controlPort_.get());
+        return opened;
+    }
+
+    Result<void> openRouter()
+    {
+        DirectRouterSettings routing;
+        routing.dataCentre = settings_.dataCentre;
+        routing.retries = settings_.direct.retries;
+        router_ = std::make_unique<DirectRouter>(loop_, dialect_, routing, metrics_);
+        SyncSettings sync { settings_.name, static_cast<uint64_t>(wallClockMillis()),
+                            settings_.dataCentre, settings_.controlReplicas,
+                            settings_.direct.sync };
+        SyncTask::Hooks hooks;
+        hooks.uses = [this] { return router_->uses(); };
+        hooks.parseRoutes = dialect_.parseRoutes;
+        hooks.changed = [this] { onNews(); };
+        sync_ = std::make_unique<SyncTask>(loop_, peers_, std::move(sync), std::move(hooks));
+        router_->setSync(sync_.get());
+        auto opened = openPort(settings_.listen.callers, callerPort_,
+                               [this](ExchangeId id, HttpRequest request) {
+                                   router_->handle(id, std::move(request));
+                               });
+        if (!opened)
+            return opened;
+        router_->setServer(callerPort_.get());
+        if (settings_.listen.readiness.empty())
+            return {};
+        return openPort(settings_.listen.readiness, readinessPort_,
+                        [this](ExchangeId id, const HttpRequest &request) {
+                            readiness(id, request);
+                        });
+    }
+
+    Result<void> openPort(const std::string &address, std::unique_ptr<HttpServer> &port,
+                          HttpServer::Handler handler)
+    {
+        auto opened = HttpServer::listen(loop_, *parseSocketAddress(address), settings_.http,
+                                         std::move(handler));
+        if (!opened)
+            return tl::unexpected(opened.error());
+        port = std::move(*opened);
+        return {};
+    }
+
+    void onNews()
+    {
+        router_->onNews();
+        const auto &table = sync_->table();
+        if (!table || table->version() == limitsVersion_)
+            return;
+        limitsVersion_ = table->version();
+        HttpLimits limits = settings_.http;
+        limits.maxHeaderBytes = std::max(limits.maxHeaderBytes, table->limits().maxHeaderBytes);
+        limits.maxBodyBytes = std::max(limits.maxBodyBytes, table->limits().maxBodyBytes);
+        limits.slowSender = std::chrono::duration_cast<Duration>(table->limits().idleTimeout
+                                                                 * kIdleMargin);
+        callerPort_->setLimits(limits);
+    }
+
+    void readiness(ExchangeId id, const HttpRequest &request)
+    {
+        HttpReply reply;
+        if (!dialect_.isReadinessProbe(request))
+            reply.status = 404;
+        else
+            reply.status = !stopping_ && sync_->isReady(BootClock::now()) ? 200 : 503;
+        const bool ready = reply.status == 200;
+        if (reply.status != 404 && ready != wasReady_) {
+            wasReady_ = ready;
+            logEvent(LogLevel::Info, "readiness",
+                     { { "ready", ready ? "yes" : "no" },
+                       { "stopping", stopping_ ? "yes" : "no" },
+                       { "replicas",
+                         fmt::to_string(sync_->replicasAnswering(BootClock::now())) } });
+        }
+        readinessPort_->reply(id, reply);
+    }
+
+    void operators(ExchangeId id, const HttpRequest &request)
+    {
+        HttpReply reply;
+        if (request.pathOnly() == "/metrics") {
+            reply.contentType = "text/plain; version=0.0.4";
+            reply.body = metrics_.render();
+        } else if (request.pathOnly() == "/v1/operators/node") {
+            reply.body = nodeStatus().dump();
+        } else if (request.pathOnly() == "/healthz") {
+            reply.body = "{}";
+        } else {
+            reply.status = 404;
+            reply.body = R"({"error":{"type":"not_found","message":"use /metrics, )"
+                         R"(/v1/operators/node or /healthz"}})";
+        }
+        operatorPort_->reply(id, reply);
+    }
+
+    nlohmann::json nodeStatus()
+    {
+        const Instant now = BootClock::now();
+        nlohmann::json value { { "name", settings_.name },
+                               { "data_centre", settings_.dataCentre },
+                               { "stopping", stopping_ } };
+        if (replica_) {
+            value["replica"] = replica_->status();
+            auto routers = nlohmann::json::array();
+            for (const auto &[name, entry] : front_->routers().routers()) {
+                routers.push_back({ { "name", name },
+                                    { "routes_version", entry.report.routesVersion },
+                                    { "silent_ms", toMillis(now - entry.heardAt) } });
+            }
+            value["direct_routers"] = routers;
+        }
+        if (router_) {
+            value["routes_version"] = sync_->table() ? sync_->table()->version() : 0;
+            value["ready"] = !stopping_ && sync_->isReady(now);
+            value["knowledge_age_ms"] = toMillis(sync_->knowledgeAge(now));
+            value["data_centres_out"] = sync_->dataCentresOut();
+            auto endpoints = nlohmann::json::array();
+            for (const auto &[key, standing] : router_->board().standings()) {
+                endpoints.push_back(
+                        { { "id", standing.id },
+                          { "service", standing.service },
+                          { "data_centre", standing.dataCentre },
+                          { "address", standing.address },
+                          { "usable", standing.usable },
+                          { "out", standing.out },
+                          { "cold_ms",
+                            std::max<int64_t>(0, toMillis(standing.coldUntil - now)) },
+                          { "ejected", standing.health.isEjected(now) },
+                          { "running", standing.running },
+                          { "running_by_others", standing.othersRunning },
+                          { "slowness", standing.slowness } });
+            }
+            value["endpoints"] = endpoints;
+        }
+        return value;
+    }
+
+    void watchSignals()
+    {
+        const auto watch = [this](int number, event_callback_fn callback) {
+            event *signal = evsignal_new(loop_.base(), number, callback, this);
+            event_add(signal, nullptr);
+            signals_.push_back(signal);
+        };
+        const auto stop = [](evutil_socket_t, short, void *self) {
+            static_cast<DirectDaemon *>(self)->stopAsked_->fulfill();
+        };
+        watch(SIGTERM, stop);
+        watch(SIGINT, stop);
+        watch(SIGHUP, [](evutil_socket_t, short, void *self) {
+            static_cast<DirectDaemon *>(self)->reload("signal");
+        });
+    }
+
+    std::filesystem::file_time_type settingsTime() const
+    {
+        std::error_code error; // a file that is being replaced shows up with the next look
+        return std::filesystem::last_write_time(settingsFile_, error);
+    }
+
+    void watchSettings()
+    {
+        const auto time = settingsTime();
+        if (time == settingsTime_)
+            return;
+        settingsTime_ = time;
+        reload("file changed");
+    }
+
+    // Only the seeds can change while a node runs; the rest holds from its start.
+    void reload(std::string_view why)
+    {
+        const auto loaded = loadSettings(settingsFile_);
+        if (!loaded) {
+            logEvent(LogLevel::Warning, "reload_refused",
+                     { { "why", std::string(why) },
+                       { "problem", loaded.error().front().message },
+                       { "remedy", loaded.error().front().remedy } });
+            return;
+        }
+        settings_.direct.seeds = loaded->direct.seeds;
+        settings_.controlReplicas = loaded->controlReplicas;
+        if (sync_)
+            sync_->setSeeds(settings_.controlReplicas);
+        if (replica_)
+            replica_->setPeers(settings_.controlReplicas);
+        logEvent(LogLevel::Info, "reloaded",
+                 { { "why", std::string(why) },
+                   { "seeds", fmt::format("{}", fmt::join(settings_.direct.seeds, ",")) } });
+    }
+
+    kj::Promise<void> stop()
+    {
+        stopping_ = true;
+        stopBegan_ = BootClock::now();
+        quietSince_ = stopBegan_;
+        logEvent(LogLevel::Info, "stop_began",
+                 { { "open", fmt::to_string(router_ ? router_->openCount() : 0) } });
+        if (router_)
+            router_->announceStop();
+        if (replica_ && replica_->maySpeak())
+            replica_->handOver();
+        const Duration least = router_ ? kBalancerTurnsAway : kHandOver;
+        return loop_.sleep(least).then([this]() { return drain(); }).then([this]() {
+            if (!sync_)
+                return kj::Promise<void>(kj::READY_NOW);
+            sync_->leave();
+            return loop_.sleep(kDrainPoll);
+        });
+    }
+
+    kj::Promise<void> drain()
+    {
+        const Instant now = BootClock::now();
+        const bool busy = (router_ && router_->openCount() > 0)
+                || (callerPort_ && callerPort_->openCount() > 0)
+                || (controlPort_ && controlPort_->openCount() > 0);
+        if (busy)
+            quietSince_ = now;
+        if (now - quietSince_ >= kQuiet)
+            return kj::READY_NOW;
+        const auto limit = std::chrono::duration_cast<Duration>(settings_.stopWithin * kStopShare);
+        if (now - stopBegan_ >= limit) {
+            logEvent(LogLevel::Warning, "stop_limit_reached",
+                     { { "open", fmt::to_string(router_ ? router_->openCount() : 0) } });
+            if (router_)
+                router_->breakAll();
+            return loop_.sleep(kDrainPoll);
+        }
+        return loop_.sleep(kDrainPoll).then([this]() { return drain(); });
+    }
+
+    Settings settings_;
+    std::string settingsFile_;
+    Dialect dialect_;
+    EventLoop loop_;
+    Metrics metrics_;
+    Peers peers_;
+    std::unique_ptr<ControlTask> replica_;
+    std::unique_ptr<ReplicaFront> front_;
+    std::unique_ptr<PeerServer> peerServer_;
+    std::unique_ptr<DirectRouter> router_;
+    std::unique_ptr<SyncTask> sync_;
+    std::unique_ptr<HttpServer> callerPort_;
+    std::unique_ptr<HttpServer> readinessPort_;
+    std::unique_ptr<HttpServer> controlPort_;
+    std::unique_ptr<HttpServer> operatorPort_;
+    std::vector<event *> signals_;
+    kj::Own<kj::PromiseFulfiller<void>> stopAsked_;
+    std::filesystem::file_time_type settingsTime_ {};
+    uint64_t limitsVersion_ = 0;
+    bool stopping_ = false;
+    bool wasReady_ = false;
+    Instant stopBegan_ {};
+    Instant quietSince_ {};
+};
+
+} // namespace
+
+Result<std::unique_ptr<Daemon>> startDirectDaemon(Settings settings, std::string settingsFile,
+                                                  Dialect dialect)
+{
+    configureLog(settings.logForm, settings.logLevel, settings.name);
+    auto daemon = std::make_unique<DirectDaemon>(std::move(settings), std::move(settingsFile),
+                                                 std::move(dialect));
+    if (auto opened = daemon->open(); !opened)
+        return tl::unexpected(opened.error());
+    return std::unique_ptr<Daemon>(std::move(daemon));
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/directrouter.cc
@@ -0,0 +1,678 @@
+// The request path of a direct router.
+
+#include "node/directrouter.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+namespace bamboogap {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kCloseIdle = std::chrono::seconds(1);
+// A request waits for a cold endpoint's pace this share of its latency goal; what
+// waits longer is better told when to come back.
+constexpr double kWaitShare = 0.25;
+// An idempotent request that was not answered after this share of its goal goes to
+// another endpoint, which can then still meet the goal.
+constexpr double kPlainAttemptShare = 0.6;
+// A resumable stream without an event for this many times its goal goes on elsewhere.
+constexpr double kFirstEventGoals = 3;
+constexpr double kEventGapGoals = 4;
+// Sends of a request that no endpoint has run: each may meet a full or vanished one.
+constexpr uint32_t kMostSends = 4;
+// An endpoint given less time than this answers too late for the caller.
+constexpr Duration kLeastRemaining = std::chrono::milliseconds(5);
+// An answer of the endpoint itself at the deadline comes before ours.
+constexpr Duration kDeadlineSlack = std::chrono::milliseconds(60);
+constexpr Duration kNoRouteTimeout = std::chrono::seconds(30);
+// Callers that were refused for lack of a free place return after this, spread.
+constexpr Duration kRetryAfterLeast = std::chrono::milliseconds(200);
+constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(400);
+
+Fingerprint fingerprintOf(const HttpRequest &request, std::string_view accessKey)
+{
+    return combineHashes(hashBytes(request.path, hashBytes(accessKey)), hashBytes(request.body));
+}
+
+std::string millisText(Duration duration)
+{
+    return fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(duration).count());
+}
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+} // namespace
+
+// One request of a caller while it is open here.
+struct DirectRouter::Active
+{
+    DirectRouter *router = nullptr;
+    ExchangeId id = 0;
+    HttpRequest request;
+    CallerRequest caller;
+    std::shared_ptr<const RouteTable> table; // keeps route alive
+    const Route *route = nullptr;
+    std::string workspace;
+    uint32_t priority = 0;
+    std::string service;
+    bool isEngine = false;
+    bool isStream = false;
+    Instant arrivedAt {};
+    Instant deadline {};
+    Instant waitUntil {}; // for a place
+    Fingerprint fingerprint = 0;
+    event *timer = nullptr;
+
+    uint32_t sends = 0;
+    uint32_t runs = 0; // sends that an endpoint may have run
+    std::set<EndpointKey> tried;
+
+    // The attempt under way.
+    CallId call = 0; // 0 if none
+    EndpointKey endpoint = 0;
+    std::string endpointId;
+    int64_t endpointBorn = 0;
+    Instant sentAt {};
+    uint32_t unreadTokens = 0;
+    double expectedMillis = 0;
+    bool hadFirstByte = false;
+    int status = 0;
+    std::vector<HttpHeader> headers;
+    AnswerHead head;
+    bool success = false; // status and signature are those of a success
+    std::string body;
+
+    // The stream to the caller.
+    EventStream events;
+    bool streaming = false;
+    Instant firstEventAt {};
+    Instant lastEventAt {};
+
+    ~Active()
+    {
+        if (timer)
+            event_free(timer);
+    }
+};
+
+DirectRouter::DirectRouter(EventLoop &loop, const Dialect &dialect, DirectRouterSettings settings,
+                           Metrics &metrics)
+    : loop_(loop)
+    , dialect_(dialect)
+    , settings_(std::move(settings))
+    , metrics_(metrics)
+    , board_(settings_.board)
+    , pool_(loop, settings_.pool)
+    , random_(std::random_device {}())
+{
+}
+
+DirectRouter::~DirectRouter() = default;
+
+void DirectRouter::start()
+{
+    loop_.every(kTick, [this] { placeWaiting(); });
+    loop_.every(kCloseIdle, [this] {
+        pool_.closeIdle();
+        const Instant now = BootClock::now();
+        sync_->roster().tick(now);
+        onNews();
+        metrics_.set("bamboogap_requests_open", {}, double(active_.size()));
+        metrics_.set("bamboogap_connections_idle", {}, double(pool_.idleCount()));
+        metrics_.set("bamboogap_connections_made", {}, double(pool_.connectionsMade()));
+        metrics_.set("bamboogap_knowledge_age_seconds", {},
+                     std::chrono::duration<double>(sync_->knowledgeAge(now)).count());
+    });
+}
+
+void DirectRouter::onNews()
+{
+    const Instant now = BootClock::now();
+    board_.update(sync_->roster(), sync_->dataCentresOut(), sync_->table().get(), now);
+    board_.setOthers(sync_->others());
+    board_.setFleet(sync_->fleet());
+}
+
+double DirectRouter::chance()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+void DirectRouter::handle(ExchangeId exchange, HttpRequest request)
+{
+    auto owned = std::make_unique<Active>();
+    Active &active = *owned;
+    active.router = this;
+    active.id = exchange;
+    active.request = std::move(request);
+    active.arrivedAt = BootClock::now();
+    active_[exchange] = std::move(owned);
+    if (!accept(active))
+        return;
+    server_->onClosed(exchange, [this, exchange] { onCallerGone(exchange); });
+    if (active_.count(exchange) == 0)
+        return;
+    place(active);
+}
+
+// Reads and authorizes the request; false if it was refused.
+bool DirectRouter::accept(Active &active)
+{
+    auto caller = dialect_.readCaller(active.request);
+    if (!caller) {
+        refuse(active, Refusal::BadRequest, caller.error().message);
+        return false;
+    }
+    active.caller = std::move(*caller);
+    active.table = sync_->table();
+    if (!active.table) {
+        refuse(active, Refusal::NotReady, "no routes are known yet");
+        return false;
+    }
+    active.route = active.table->match(active.caller.host, active.request.pathOnly());
+    if (!active.route) {
+        refuse(active, Refusal::NoRoute, "no route matches host and path");
+        return false;
+    }
+    const Route &route = *active.route;
+    const Workspace *workspace = active.table->workspaceOfKey(active.caller.accessKey);
+    if (active.table->hasWorkspaces() && !route.anonymous && !workspace) {
+        refuse(active, Refusal::BadKey, "the access key is not known");
+        return false;
+    }
+    active.priority = route.priority;
+    if (workspace) {
+        active.workspace = workspace->name;
+        active.priority = workspace->priority.value_or(route.priority);
+    }
+    active.service = targetAt(route, chance()).service;
+    const ServiceProfile *profile = active.table->service(active.service);
+    active.isEngine = profile && profile->engine && !active.caller.model.empty();
+    active.isStream = route.repeatability == Repeatability::Stream;
+    active.deadline = active.arrivedAt
+            + std::min(route.timeout, active.caller.remaining.value_or(kNoRouteTimeout));
+    active.waitUntil = active.arrivedAt + scaled(route.latencyGoal, kWaitShare);
+    active.fingerprint = fingerprintOf(active.request, active.caller.accessKey);
+    if (sync_->standingOf(active.fingerprint) == Standing::Quarantined) {
+        refuse(active, Refusal::Quarantined, "endpoints crashed under this request");
+        return false;
+    }
+    auto retries = retries_.find(active.service);
+    if (retries == retries_.end())
+        retries = retries_.emplace(active.service, RetryWindow(settings_.retries)).first;
+    retries->second.onRequest(active.arrivedAt);
+    return true;
+}
+
+PlacementRequest DirectRouter::placementRequest(const Active &active) const
+{
+    PlacementRequest request;
+    request.service = active.service;
+    if (active.isEngine) {
+        request.model = active.caller.model;
+        request.prompt = active.caller.prompt;
+        request.promptTokens = active.caller.promptTokens;
+    }
+    request.dataCentre = settings_.dataCentre;
+    request.avoid = &active.tried;
+    return request;
+}
+
+void DirectRouter::place(Active &active)
+{
+    const Instant now = BootClock::now();
+    if (active.deadline - now < kLeastRemaining) {
+        fail(active, 504, "no time is left");
+        return;
+    }
+    const auto placed = board_.place(placementRequest(active), now, chance());
+    if (placed) {
+        waiting_.erase(active.id);
+        send(active, *placed);
+        return;
+    }
+    const std::string_view problem = placementProblemName(placed.error());
+    if (placed.error() == PlacementProblem::Cold && now < active.waitUntil) {
+        waiting_.insert(active.id);
+        armTimer(active, active.waitUntil);
+        return;
+    }
+    waiting_.erase(active.id);
+    refuse(active, Refusal::NoCapacity, problem);
+}
+
+void DirectRouter::placeWaiting()
+{
+    const auto waiting = waiting_;
+    for (const ExchangeId id : waiting) {
+        const auto found = active_.find(id);
+        if (found == active_.end())
+            waiting_.erase(id);
+        else
+            place(*found->second);
+    }
+}
+
+void DirectRouter::send(Active &active, const Placement &placement)
+{
+    const EndpointBoard::Standing &standing = *board_.find(placement.key);
+    const Instant now = BootClock::now();
+    active.endpoint = placement.key;
+    active.endpointId = standing.id;
+    active.endpointBorn = standing.bornMillis;
+    active.tried.insert(placement.key);
+    active.sentAt = now;
+    active.unreadTokens = placement.uncachedTokens;
+    active.expectedMillis = placement.cost;
+    active.hadFirstByte = false;
+    active.status = 0;
+    active.headers.clear();
+    active.head = {};
+    active.success = false;
+    active.body.clear();
+    ++active.sends;
+
+    Dispatch dispatch;
+    dispatch.endpointId = active.endpointId;
+    dispatch.workspace = active.workspace;
+    dispatch.remaining = active.deadline - now;
+    if (active.isEngine)
+        dispatch.priority = active.priority;
+    dispatch.lastEventId = active.streaming ? active.events.lastId() : active.caller.lastEventId;
+    PoolCall call;
+    call.address = standing.address;
+    call.method = active.request.method;
+    call.path = active.request.path;
+    call.headers = dialect_.endpointHeaders(active.request, dispatch);
+    call.body = active.request.body;
+    call.mayRepeat = mayRunAgain(active);
+    logEvent(LogLevel::Info, "placed",
+             { { "request", active.caller.id },
+               { "route", active.route->name },
+               { "routes_version", fmt::to_string(active.table->version()) },
+               { "endpoint", active.endpointId },
+               { "send", fmt::to_string(active.sends) },
+               { "running", fmt::to_string(placement.running) },
+               { "uncached", fmt::to_string(placement.uncachedTokens) },
+               { "cost_ms", fmt::format("{:.1f}", placement.cost) },
+               { "candidates", fmt::to_string(placement.candidates) },
+               { "knowledge_age_ms", fmt::to_string(toMillis(sync_->knowledgeAge(now))) } });
+    PlacementRequest request = placementRequest(active);
+    board_.began(placement.key, request);
+    const ExchangeId id = active.id;
+    CallHooks hooks;
+    hooks.onHead = [this, id](int status, std::span<const HttpHeader> headers) {
+        return onHead(id, status, headers);
+    };
+    hooks.onData = [this, id](std::string_view data) { onData(id, data); };
+    hooks.onEnd = [this, id](CallEnd end, std::string_view reason) { onEnd(id, end, reason); };
+    active.call = pool_.start(call, std::move(hooks));
+    armTimer(active, attemptLimit(active));
+}
+
+bool DirectRouter::mayRunAgain(const Active &active) const
+{
+    const Route &route = *active.route;
+    return route.repeatability == Repeatability::Idempotent
+            || (route.repeatability == Repeatability::Stream && route.resumable);
+}
+
+Instant DirectRouter::attemptLimit(const Active &active) const
+{
+    const Instant last = active.deadline + kDeadlineSlack;
+    const bool mayMove = mayRunAgain(active) && active.runs + 1 < active.route->maxAttempts;
+    if (!mayMove)
+        return last;
+    const Route &route = *active.route;
+    if (!active.isStream)
+        return std::min(last, active.sentAt + scaled(route.latencyGoal, kPlainAttemptShare));
+    if (active.hadFirstByte)
+        return std::min(last, active.lastEventAt + scaled(route.eventGapGoal, kEventGapGoals));
+    return std::min(last, active.sentAt + scaled(route.latencyGoal, kFirstEventGoals));
+}
+
+bool DirectRouter::onHead(ExchangeId id, int status, std::span<const HttpHeader> headers)
+{
+    Active &active = *active_.at(id);
+    active.status = status;
+    active.headers.assign(headers.begin(), headers.end());
+    active.head = dialect_.readAnswer(status, headers);
+    if (active.head.keepAlive)
+        pool_.setKeepAlive(active.call, *active.head.keepAlive);
+    const bool foreign = !active.head.requestId.empty()
+            && active.head.requestId != active.caller.id;
+    const bool ok = status >= 200 && status < 300;
+    active.success = ok && active.head.isSigned && !active.head.encoded
+            && active.head.requestId == active.caller.id;
+    // What claims to be a success but cannot be the endpoint's own is not read on.
+    return !foreign && (!ok || active.success);
+}
+
+void DirectRouter::onData(ExchangeId id, std::string_view data)
+{
+    Active &active = *active_.at(id);
+    if (!active.success || !active.isStream) {
+        active.body += data;
+        return;
+    }
+    const std::string events = active.events.feed(data);
+    if (!events.empty())
+        relay(active, events);
+}
+
+void DirectRouter::relay(Active &active, std::string_view events)
+{
+    const Instant now = BootClock::now();
+    active.lastEventAt = now;
+    if (!active.hadFirstByte) {
+        active.hadFirstByte = true;
+        board_.firstToken(active.endpoint, active.unreadTokens, active.expectedMillis,
+                          now - active.sentAt);
+        sync_->roster().answered(active.endpointId, now);
+    }
+    if (!active.streaming) {
+        active.streaming = true;
+        active.firstEventAt = now;
+        metrics_.observe("bamboogap_first_event_seconds", {}, now - active.arrivedAt);
+        auto headers = dialect_.callerHeaders(active.headers);
+        if (stopping_)
+            headers.push_back({ "Connection", "close" });
+        server_->startStream(active.id, active.status, {}, headers);
+    }
+    // The output buffer is bounded by the endpoint's answer, which is bounded.
+    auto taken = server_->chunk(active.id, events);
+    (void)taken;
+    if (mayRunAgain(active))
+        armTimer(active, attemptLimit(active));
+}
+
+void DirectRouter::onEnd(ExchangeId id, CallEnd end, std::string_view reason)
+{
+    Active &active = *active_.at(id);
+    active.call = 0;
+    if (end == CallEnd::NotSent) {
+        settle(active, Outcome::Unreachable, reason);
+        tryAgain(active, Outcome::Unreachable, reason);
+        return;
+    }
+    if (end == CallEnd::Broken) {
+        ++active.runs;
+        settle(active, Outcome::Broken, reason);
+        if (!active.hadFirstByte)
+            sync_->reportCrash({ active.fingerprint,
+                                 fmt::format("{}/{}", active.endpointId, active.endpointBorn) });
+        tryAgain(active, Outcome::Broken, reason);
+        return;
+    }
+    finishWhole(active);
+}
+
+// The endpoint's answer came in full.
+void DirectRouter::finishWhole(Active &active)
+{
+    if (active.head.notRun || active.head.misdirected) {
+        if (active.head.misdirected && active.head.endpointId != active.endpointId) {
+            sync_->roster().misdirected(active.endpointId);
+            onNews();
+        }
+        settle(active, Outcome::Rejected, active.head.misdirected ? "misdirected" : "not run");
+        tryAgain(active, Outcome::Rejected, "the endpoint did not run it");
+        return;
+    }
+    ++active.runs;
+    if (active.success && active.isStream) {
+        const bool whole = !active.events.hasPartial() && active.hadFirstByte;
+        settle(active, whole ? Outcome::Succeeded : Outcome::Broken, "");
+        if (!whole) {
+            tryAgain(active, Outcome::Broken, "the stream ended within an event");
+            return;
+        }
+        logEnd(active, active.status, "whole");
+        server_->endStream(active.id);
+        erase(active.id);
+        return;
+    }
+    if (active.success) {
+        sync_->roster().answered(active.endpointId, BootClock::now());
+        settle(active, Outcome::Succeeded, "");
+        answerEndpoint(active);
+        return;
+    }
+    settle(active, Outcome::Failed, "");
+    tryAgain(active, Outcome::Failed, "the endpoint failed it");
+}
+
+// Books the end of an attempt.
+void DirectRouter::settle(Active &active, Outcome outcome, std::string_view reason)
+{
+    const Instant now = BootClock::now();
+    const bool ejected = board_.ended(active.endpoint, active.unreadTokens, active.hadFirstByte,
+                                      outcome, now - active.sentAt, now);
+    if (ejected) {
+        logEvent(LogLevel::Warning, "endpoint_ejected",
+                 { { "endpoint", active.endpointId },
+                   { "request", active.caller.id },
+                   { "reason", std::string(reason) } });
+        metrics_.count("bamboogap_ejections_total");
+    }
+}
+
+// After an attempt that brought no answer to hand on.
+void DirectRouter::tryAgain(Active &active, Outcome outcome, std::string_view reason)
+{
+    const Instant now = BootClock::now();
+    const bool notRun = outcome == Outcome::Unreachable || outcome == Outcome::Rejected;
+    const bool allowed = notRun ? active.sends < kMostSends
+                                : mayRunAgain(active) && active.runs < active.route->maxAttempts;
+    const bool inTime = active.deadline - now >= kLeastRemaining;
+    const bool spare = outcome == Outcome::Unreachable
+            || (allowed && inTime
+                && retries_.at(active.service).take(sync_->fleet().routers, now));
+    if (allowed && inTime && spare) {
+        active.events.dropPartial();
+        metrics_.count("bamboogap_retries_total");
+        const auto placed = board_.place(placementRequest(active), now, chance());
+        if (placed) {
+            send(active, *placed);
+            return;
+        }
+    }
+    if (active.streaming) {
+        fail(active, 502, reason);
+        return;
+    }
+    if (outcome == Outcome::Failed && active.status != 0) {
+        answerEndpoint(active);
+        return;
+    }
+    if (notRun && active.runs == 0) {
+        refuse(active, Refusal::NoCapacity, reason);
+        return;
+    }
+    fail(active, inTime ? 502 : 504, reason);
+}
+
+// Hands on the endpoint's answer as it is.
+void DirectRouter::answerEndpoint(Active &active)
+{
+    HttpReply reply;
+    reply.status = active.status;
+    reply.contentType.clear();
+    reply.headers = dialect_.callerHeaders(active.headers);
+    if (stopping_)
+        reply.headers.push_back({ "Connection", "close" });
+    reply.body = std::move(active.body);
+    metrics_.observe("bamboogap_answer_seconds", {}, BootClock::now() - active.arrivedAt);
+    logEnd(active, active.status, active.success ? "whole" : "endpoint_failed");
+    const ExchangeId id = active.id;
+    server_->reply(id, reply);
+    erase(id);
+}
+
+std::optional<Duration> DirectRouter::retryAfter(const Active &active) const
+{
+    std::mt19937_64 spread(hashBytes(active.caller.id));
+    return kRetryAfterLeast
+            + scaled(kRetryAfterSpread, std::uniform_real_distribution<double>(0, 1)(spread));
+}
+
+void DirectRouter::refuse(Active &active, Refusal refusal, std::string_view reason)
+{
+    switch (refusal) {
+    case Refusal::BadRequest:
+        replyOwn(active, 400, "invalid_request", reason, std::nullopt);
+        return;
+    case Refusal::NoRoute:
+        replyOwn(active, 404, "no_route", reason, std::nullopt);
+        return;
+    case Refusal::BadKey:
+        replyOwn(active, 401, "unknown_key", reason, std::nullopt);
+        return;
+    case Refusal::Quarantined:
+        replyOwn(active, 503, "quarantined", reason, std::nullopt);
+        return;
+    case Refusal::NotReady:
+    case Refusal::NoCapacity:
+        replyOwn(active, 503, "no_capacity", reason, retryAfter(active));
+        return;
+    }
+}
+
+// Ends a request whose fate is not known to be "not run".
+void DirectRouter::fail(Active &active, int status, std::string_view reason)
+{
+    if (!active.streaming) {
+        replyOwn(active, status, status == 504 ? "deadline" : "endpoint_broke_off", reason,
+                 std::nullopt);
+        return;
+    }
+    logEnd(active, status, reason);
+    const ExchangeId id = active.id;
+    server_->breakStream(id);
+    erase(id);
+}
+
+void DirectRouter::replyOwn(Active &active, int status, std::string_view type,
+                            std::string_view reason, std::optional<Duration> retryAfter)
+{
+    HttpReply reply;
+    reply.status = status;
+    reply.headers = dialect_.refusalHeaders(active.caller.id, retryAfter);
+    if (stopping_)
+        reply.headers.push_back({ "Connection", "close" });
+    reply.body = nlohmann::json { { "error", { { "type", type }, { "message", reason } } } }.dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    logEnd(active, status, reason);
+    const ExchangeId id = active.id;
+    server_->reply(id, reply);
+    erase(id);
+}
+
+void DirectRouter::logEnd(const Active &active, int status, std::string_view reason)
+{
+    const Instant now = BootClock::now();
+    metrics_.count("bamboogap_answers_total",
+                   fmt::format("route=\"{}\",status=\"{}\"",
+                               active.route ? active.route->name : "none", status));
+    logEvent(LogLevel::Info, "answered",
+             { { "request", active.caller.id },
+               { "route", active.route ? active.route->name : "none" },
+               { "status", fmt::to_string(status) },
+               { "reason", std::string(reason) },
+               { "endpoint", active.endpointId },
+               { "sends", fmt::to_string(active.sends) },
+               { "runs", fmt::to_string(active.runs) },
+               { "first_ms",
+                 active.streaming ? millisText(active.firstEventAt - active.arrivedAt) : "-" },
+               { "events", fmt::to_string(active.events.events()) },
+               { "took_ms", millisText(now - active.arrivedAt) } });
+}
+
+void DirectRouter::armTimer(Active &active, Instant at)
+{
+    if (!active.timer) {
+        active.timer = event_new(
+                loop_.base(), -1, 0,
+                [](evutil_socket_t, short, void *context) {
+                    const auto *timed = static_cast<Active *>(context);
+                    timed->router->onTimer(timed->id);
+                },
+                &active);
+    }
+    const int64_t micros = std::max<int64_t>(
+            0, std::chrono::duration_cast<std::chrono::microseconds>(at - BootClock::now()).count());
+    const timeval delay { micros / 1000000, micros % 1000000 };
+    event_add(active.timer, &delay);
+}
+
+void DirectRouter::onTimer(ExchangeId id)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end())
+        return;
+    Active &active = *found->second;
+    const Instant now = BootClock::now();
+    if (active.call == 0) {
+        place(active); // it waits for a place
+        return;
+    }
+    if (now < attemptLimit(active)) {
+        armTimer(active, attemptLimit(active)); // events came in the meantime
+        return;
+    }
+    pool_.cancel(active.call);
+    active.call = 0;
+    ++active.runs;
+    settle(active, Outcome::Broken, "silent");
+    if (now >= active.deadline) {
+        fail(active, 504, "the deadline passed");
+        return;
+    }
+    tryAgain(active, Outcome::Broken, "silent");
+}
+
+void DirectRouter::onCallerGone(ExchangeId id)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end())
+        return;
+    Active &active = *found->second;
+    if (active.call != 0) {
+        pool_.cancel(active.call);
+        settle(active, Outcome::Abandoned, "");
+    }
+    logEnd(active, 0, "the caller left");
+    erase(id);
+}
+
+void DirectRouter::breakAll()
+{
+    while (!active_.empty()) {
+        Active &active = *active_.begin()->second;
+        if (active.call != 0)
+            pool_.cancel(active.call);
+        active.call = 0;
+        if (active.runs == 0 && active.sends == 0)
+            refuse(active, Refusal::NotReady, "the router ends");
+        else
+            fail(active, 502, "the router ends");
+    }
+}
+
+void DirectRouter::erase(ExchangeId id)
+{
+    waiting_.erase(id);
+    active_.erase(id);
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/directrouter.h
@@ -0,0 +1,114 @@
+// The request path of a direct router: from a caller to an endpoint and back.
+//
+// The router matches the route, places the request by its board, sends it to the
+// endpoint over a kept connection and relays the answer. What may be repeated
+// follows from the route alone. A request that has not reached an endpoint, or that
+// an endpoint says it did not run, may go to another one; one that may have run goes on only if the
+// route allows it.
+
+#ifndef BAMBOOGAP_NODE_DIRECTROUTER_H
+#define BAMBOOGAP_NODE_DIRECTROUTER_H
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "node/dialect.h"
+#include "node/endpointpool.h"
+#include "node/httpserver.h"
+#include "node/metrics.h"
+#include "node/synctask.h"
+#include "routing/endpointboard.h"
+#include "routing/eventstream.h"
+#include "routing/retrywindow.h"
+
+namespace bamboogap {
+
+struct DirectRouterSettings
+{
+    std::string dataCentre;
+    BoardSettings board;
+    RetryWindowSettings retries;
+    PoolLimits pool;
+};
+
+class DirectRouter
+{
+public:
+    DirectRouter(EventLoop &loop, const Dialect &dialect, DirectRouterSettings settings,
+                 Metrics &metrics);
+    ~DirectRouter();
+    DirectRouter(const DirectRouter &) = delete;
+    DirectRouter &operator=(const DirectRouter &) = delete;
+
+    void setSync(SyncTask *sync) { sync_ = sync; }
+    void setServer(HttpServer *server) { server_ = server; }
+    void start();
+
+    void handle(ExchangeId exchange, HttpRequest request);
+    // The link to the replicas has news.
+    void onNews();
+    // Answers tell callers to close their connections from now on.
+    void announceStop() { stopping_ = true; }
+    // Ends what is still under way, because the process ends.
+    void breakAll();
+
+    std::vector<EndpointUse> uses() const { return board_.ownUses(); }
+    const EndpointBoard &board() const { return board_; }
+    size_t openCount() const { return active_.size(); }
+
+private:
+    struct Active;
+
+    // Why a request was not sent, or ended without an answer.
+    enum class Refusal { NotReady, BadRequest, NoRoute, BadKey, Quarantined, NoCapacity };
+
+    bool accept(Active &active);
+    void place(Active &active);
+    void send(Active &active, const Placement &placement);
+    bool onHead(ExchangeId id, int status, std::span<const HttpHeader> headers);
+    void onData(ExchangeId id, std::string_view data);
+    void onEnd(ExchangeId id, CallEnd end, std::string_view reason);
+    void onTimer(ExchangeId id);
+    void onCallerGone(ExchangeId id);
+
+    void relay(Active &active, std::string_view events);
+    void finishWhole(Active &active);
+    void tryAgain(Active &active, Outcome outcome, std::string_view reason);
+    void settle(Active &active, Outcome outcome, std::string_view reason);
+    void answerEndpoint(Active &active);
+    void refuse(Active &active, Refusal refusal, std::string_view reason);
+    void fail(Active &active, int status, std::string_view reason);
+    void replyOwn(Active &active, int status, std::string_view type, std::string_view reason,
+                  std::optional<Duration> retryAfter);
+    void logEnd(const Active &active, int status, std::string_view reason);
+    void erase(ExchangeId id);
+    void armTimer(Active &active, Instant at);
+    Instant attemptLimit(const Active &active) const;
+    bool mayRunAgain(const Active &active) const;
+    std::optional<Duration> retryAfter(const Active &active) const;
+    PlacementRequest placementRequest(const Active &active) const;
+    void placeWaiting();
+    double chance();
+
+    EventLoop &loop_;
+    const Dialect &dialect_;
+    DirectRouterSettings settings_;
+    Metrics &metrics_;
+    SyncTask *sync_ = nullptr;
+    HttpServer *server_ = nullptr;
+    EndpointBoard board_;
+    EndpointPool pool_;
+    std::map<std::string, RetryWindow, std::less<>> retries_; // by service
+    std::map<ExchangeId, std::unique_ptr<Active>> active_;
+    std::set<ExchangeId> waiting_; // for a place
+    std::mt19937_64 random_;
+    uint64_t rosterSeen_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace bamboogap
+
+#endif
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -165,11 +165,8 @@
     , handler_(std::move(handler))
     , http_(evhttp_new(loop.base()))
 {
-    evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
-    evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(limits.maxBodyBytes));
     evhttp_set_allowed_methods(http_, kMethods);
-    const timeval senderLimit = toTimeval(limits.slowSender);
-    evhttp_set_timeout_tv(http_, &senderLimit);
+    setLimits(limits);
     evhttp_set_gencb(http_, &HttpServer::onRequest, this);
 }
 
@@ -275,7 +272,8 @@
         return;
     exchange->streaming = true;
     evkeyvalq *output = evhttp_request_get_output_headers(exchange->request);
-    evhttp_add_header(output, "Content-Type", std::string(contentType).c_str());
+    if (!contentType.empty())
+        evhttp_add_header(output, "Content-Type", std::string(contentType).c_str());
     addHeaders(exchange->request, headers);
     evhttp_send_reply_start(exchange->request, status, nullptr);
 }
@@ -355,6 +353,15 @@
     exchange->closedHook = std::move(hook);
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    limits_ = limits;
+    evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
+    evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(limits.maxBodyBytes));
+    const timeval senderLimit = toTimeval(limits.slowSender);
+    evhttp_set_timeout_tv(http_, &senderLimit);
+}
+
 void HttpServer::stopAccepting()
 {
     if (bound_)
--- a/node/httpserver.h
+++ b/node/httpserver.h
@@ -83,6 +83,8 @@
 
     // Exchanges that were not answered in full.
     size_t openCount() const { return exchanges_.size(); }
+    // Holds for connections made from now on, and for the idle time of all.
+    void setLimits(const HttpLimits &limits);
     // Stops accepting connections; open ones go on.
     void stopAccepting();
 
--- /dev/null
+++ b/node/replicafront.cc
@@ -0,0 +1,388 @@
+// Operators' orders, endpoints' heartbeats and routers' reports at a replica.
+
+#include "node/replicafront.h"
+
+#include <random>
+
+#include <fmt/format.h>
+
+#include "base/log.h"
+#include "node/convert.h"
+
+namespace bamboogap {
+
+namespace {
+
+// The operator asks another replica after a second without an answer; a call to the
+// leader has to end before that.
+constexpr Duration kLeaderLimit = std::chrono::milliseconds(850);
+constexpr Duration kTick = std::chrono::milliseconds(500);
+// Crashes of different endpoints under one request before it is refused everywhere.
+// Two leave room for an innocent request that met two crashes in a row.
+constexpr size_t kCrashesToQuarantine = 3;
+
+SuspectLimits suspectLimits()
+{
+    SuspectLimits limits;
+    limits.strikesToQuarantine = kCrashesToQuarantine;
+    return limits;
+}
+
+uint64_t randomEpoch()
+{
+    std::random_device device;
+    return ((uint64_t { device() } << 32) | device()) | 1;
+}
+
+void write(const EndpointRecord &record, wire::EndpointRecord::Builder builder)
+{
+    builder.setId(record.id);
+    builder.setBornMillis(record.bornMillis);
+    builder.setSequence(record.sequence);
+    builder.setService(record.service);
+    builder.setAddress(record.address);
+    builder.setDataCentre(record.dataCentre);
+    builder.setSlots(record.slots);
+    builder.setWarmupLeftMillis(record.warmupLeftMillis);
+    builder.setState(static_cast<uint8_t>(record.state));
+    builder.setHeard(record.heard);
+    auto models = builder.initModels(record.models.size());
+    for (size_t i = 0; i < record.models.size(); ++i) {
+        models[i].setName(record.models[i].name);
+        models[i].setVersion(record.models[i].version);
+    }
+}
+
+tl::unexpected<Error> noLeader()
+{
+    return failure(ErrorKind::NoLeader, "no leader of the control group is known here",
+                   "send it to another replica, or again in a second");
+}
+
+class ReplicaServer final : public ControlServer
+{
+public:
+    ReplicaServer(ReplicaFront &front, ControlTask &control)
+        : ControlServer(&control)
+        , front_(front)
+    {
+    }
+
+    kj::Promise<void> sync(SyncContext context) override
+    {
+        front_.sync(context.getParams().getRequest(), context.getResults().initReply());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> routes(RoutesContext context) override
+    {
+        const Deployment &deployment = control()->deployment();
+        auto results = context.getResults();
+        results.setVersion(deployment.version());
+        results.setDocument(toData(deployment.document()));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> newestRoutes(NewestRoutesContext context) override
+    {
+        auto results = context.getResults();
+        if (!control()->maySpeak()) {
+            hint(results.initLeader());
+            return kj::READY_NOW;
+        }
+        const Deployment &deployment = control()->deployment();
+        results.setAnswered(true);
+        results.setVersion(deployment.version());
+        results.setDocument(toData(deployment.document()));
+        return kj::READY_NOW;
+    }
+
+private:
+    ReplicaFront &front_;
+};
+
+} // namespace
+
+ReplicaFront::ReplicaFront(EventLoop &loop, Peers &peers, ControlTask &control,
+                           const Dialect &dialect, Settings settings, Metrics &metrics)
+    : loop_(loop)
+    , peers_(peers)
+    , control_(control)
+    , dialect_(dialect)
+    , settings_(std::move(settings))
+    , metrics_(metrics)
+    , roster_(randomEpoch(), settings_.endpointSilence)
+    , suspects_(suspectLimits())
+{
+}
+
+void ReplicaFront::start()
+{
+    loop_.every(kTick, [this] {
+        roster_.tick(BootClock::now());
+        suspects_.expire(wallClockMillis());
+        metrics_.set("bamboogap_roster_endpoints", {}, double(roster_.size()));
+        metrics_.set("bamboogap_routes_version", {}, double(control_.deployment().version()));
+        metrics_.set("bamboogap_replica_current", {}, control_.isCurrent() ? 1 : 0);
+    });
+}
+
+wire::Node::Client ReplicaFront::makeServer()
+{
+    return kj::heap<ReplicaServer>(*this, control_);
+}
+
+void ReplicaFront::sync(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply)
+{
+    const Instant now = BootClock::now();
+    const std::string name(toView(request.getRouter()));
+    if (request.getLeaving()) {
+        routers_.leave(name);
+    } else {
+        RouterReport report { name, request.getIncarnation(),
+                              std::string(toView(request.getDataCentre())),
+                              request.getRoutesVersion(), {} };
+        for (const auto use : request.getUses())
+            report.uses.push_back({ use.getKey(), use.getRunning(), use.getUnreadTokens() });
+        if (routers_.routers().count(name) == 0)
+            logEvent(LogLevel::Info, "router_joined", { { "router", name } });
+        routers_.report(std::move(report), now);
+    }
+    for (const auto crash : request.getCrashes()) {
+        const std::string crashName(toView(crash.getCrash()));
+        suspects_.strike(crash.getFingerprint(), crashName, wallClockMillis());
+        logEvent(LogLevel::Warning, "endpoint_crash_reported",
+                 { { "router", name },
+                   { "fingerprint", fmt::format("{:016x}", crash.getFingerprint()) },
+                   { "crash", crashName },
+                   { "quarantined",
+                     suspects_.standingOf(crash.getFingerprint()) == Standing::Quarantined
+                             ? "yes"
+                             : "no" } });
+    }
+    const Deployment &deployment = control_.deployment();
+    reply.setCurrent(control_.isCurrent());
+    reply.setRevision(deployment.revision());
+    reply.setRoutesVersion(deployment.version());
+    auto out = reply.initDataCentresOut(deployment.dataCentresOut().size());
+    unsigned index = 0;
+    for (const std::string &dataCentre : deployment.dataCentresOut())
+        out.set(index++, dataCentre);
+    const RosterChanges changes
+            = roster_.changesSince(request.getRosterEpoch(), request.getRosterVersion(), now);
+    reply.setRosterEpoch(changes.epoch);
+    reply.setRosterVersion(changes.version);
+    reply.setRosterFull(changes.full);
+    auto records = reply.initChanged(changes.records.size());
+    for (size_t i = 0; i < changes.records.size(); ++i)
+        write(changes.records[i], records[i]);
+    const auto others = routers_.usesOfOthers(name, now);
+    auto uses = reply.initUses(others.size());
+    for (size_t i = 0; i < others.size(); ++i) {
+        uses[i].setKey(others[i].key);
+        uses[i].setRunning(std::min<uint32_t>(others[i].running, UINT16_MAX));
+        uses[i].setUnreadTokens(others[i].unreadTokens);
+    }
+    reply.setRouters(routers_.aliveCount(now));
+    reply.setRank(routers_.rankOf(name, now));
+    const auto &members = control_.membership().members;
+    auto replicas = reply.initReplicas(members.size());
+    for (size_t i = 0; i < members.size(); ++i)
+        replicas.set(i, members[i].address);
+    reply.setSuspectsVersion(suspects_.version());
+    if (request.getSuspectsVersion() != suspects_.version()) {
+        const auto all = suspects_.all();
+        reply.setHasSuspects(true);
+        auto list = reply.initSuspects(all.size());
+        for (size_t i = 0; i < all.size(); ++i) {
+            list[i].setFingerprint(all[i].fingerprint);
+            list[i].setStanding(static_cast<uint8_t>(all[i].standing));
+        }
+    }
+}
+
+void ReplicaFront::handle(ExchangeId exchange, const HttpRequest &request)
+{
+    const auto order = dialect_.readOrder(request);
+    if (!order) {
+        logEvent(LogLevel::Warning, "order_refused",
+                 { { "method", request.method },
+                   { "path", request.path },
+                   { "problem", order.error().message } });
+        replyError(exchange, order.error());
+        return;
+    }
+    std::visit([&](const auto &kind) { perform(exchange, kind, request); }, *order);
+}
+
+// Routers in touch reach every replica that is in touch with the majority; one that
+// is cut off from it must not vouch that they will know.
+bool ReplicaFront::mayAcknowledgeDeparture() const
+{
+    return control_.isCurrent();
+}
+
+void ReplicaFront::perform(ExchangeId exchange, const HeartbeatOrder &order, const HttpRequest &)
+{
+    const bool draining = order.record.state != EndpointState::Ready;
+    const std::string id = order.record.id;
+    const uint64_t before = roster_.version();
+    roster_.heartbeat(order.record, BootClock::now());
+    if (roster_.version() != before) {
+        logEvent(LogLevel::Info, "endpoint_changed",
+                 { { "endpoint", id },
+                   { "service", order.record.service },
+                   { "data_centre", order.record.dataCentre },
+                   { "state", draining ? "draining" : "ready" },
+                   { "cold_ms", fmt::to_string(order.record.warmupLeftMillis) },
+                   { "sequence", fmt::to_string(order.record.sequence) } });
+    }
+    if (draining && !mayAcknowledgeDeparture()) {
+        replyError(exchange, noLeader().value());
+        return;
+    }
+    reply(exchange, 200, "{}");
+}
+
+void ReplicaFront::perform(ExchangeId exchange, const LeaveOrder &order, const HttpRequest &)
+{
+    roster_.leave(order.endpointId, wallClockMillis(), BootClock::now());
+    logEvent(LogLevel::Info, "endpoint_left", { { "endpoint", order.endpointId } });
+    if (!mayAcknowledgeDeparture()) {
+        replyError(exchange, noLeader().value());
+        return;
+    }
+    reply(exchange, 200, "{}");
+}
+
+void ReplicaFront::perform(ExchangeId exchange, const InstallRoutesOrder &order,
+                           const HttpRequest &request)
+{
+    const auto parsed = dialect_.parseRoutes(request.body);
+    if (!parsed) {
+        logEvent(LogLevel::Warning, "routes_refused",
+                 { { "version", fmt::to_string(order.version) },
+                   { "problem", parsed.error().message } });
+        replyError(exchange, parsed.error());
+        return;
+    }
+    answerCommit(exchange, fmt::format("routes {}", order.version),
+                 InstallRoutesCommand { order.version, request.body });
+}
+
+void ReplicaFront::perform(ExchangeId exchange, const ReadRoutesOrder &, const HttpRequest &)
+{
+    loop_.detach(newestDocument().then([this, exchange](Result<std::string> document) {
+        if (!document) {
+            replyError(exchange, document.error());
+            return;
+        }
+        reply(exchange, 200, std::move(*document));
+    }),
+                 "read routes");
+}
+
+void ReplicaFront::perform(ExchangeId exchange, const OutageOrder &order, const HttpRequest &)
+{
+    answerCommit(exchange, fmt::format("{} {}", order.out ? "out" : "in", order.dataCentre),
+                 SetOutageCommand { order.dataCentre, order.out });
+}
+
+void ReplicaFront::answerCommit(ExchangeId exchange, std::string what, Command command)
+{
+    const Instant began = BootClock::now();
+    loop_.detach(commit(std::move(command)).then([=, this](Result<void> committed) {
+        logEvent(committed ? LogLevel::Info : LogLevel::Warning, "order",
+                 { { "order", what },
+                   { "outcome", committed ? "committed" : "unknown" },
+                   { "problem", committed ? "" : committed.error().message },
+                   { "took_ms", fmt::to_string(toMillis(BootClock::now() - began)) },
+                   { "revision", fmt::to_string(control_.deployment().revision()) } });
+        if (!committed)
+            replyError(exchange, committed.error());
+        else
+            reply(exchange, 200, "{}");
+    }),
+                 "order");
+}
+
+kj::Promise<Result<void>> ReplicaFront::commit(Command command)
+{
+    const auto failed = [](kj::Exception &&problem) -> Result<void> {
+        return failure(ErrorKind::NoLeader,
+                       fmt::format("the leader did not answer: {}",
+                                   problem.getDescription().cStr()),
+                       "send the order again; it may have been committed");
+    };
+    if (control_.maySpeak()) {
+        return loop_.within(kLeaderLimit, control_.command(command))
+                .then(
+                        [](Result<CommandAnswer> answer) -> Result<void> {
+                            if (!answer)
+                                return tl::unexpected(answer.error());
+                            return {};
+                        },
+                        failed);
+    }
+    const std::string leader = control_.leaderAddress();
+    if (leader.empty() || leader == settings_.address)
+        return Result<void>(noLeader());
+    auto request = peers_.node(leader, Lane::Requests).commandRequest();
+    const std::string encoded = encodeCommand(command);
+    request.setCommand(toData(encoded));
+    return loop_.within(kLeaderLimit, request.send())
+            .then(
+                    [](auto &&response) -> Result<void> {
+                        if (!response.getAnswered())
+                            return noLeader();
+                        return {};
+                    },
+                    failed);
+}
+
+kj::Promise<Result<std::string>> ReplicaFront::newestDocument()
+{
+    const auto documentOf = [](uint64_t version, std::string_view document) -> Result<std::string> {
+        if (version == 0) {
+            return failure(ErrorKind::NoLeader, "no route document was installed yet",
+                           "install one");
+        }
+        return std::string(document);
+    };
+    if (control_.maySpeak())
+        return documentOf(control_.deployment().version(), control_.deployment().document());
+    const std::string leader = control_.leaderAddress();
+    if (leader.empty() || leader == settings_.address)
+        return Result<std::string>(noLeader());
+    auto request = peers_.node(leader, Lane::Requests).newestRoutesRequest();
+    return loop_.within(kLeaderLimit, request.send())
+            .then(
+                    [documentOf](auto &&response) -> Result<std::string> {
+                        if (!response.getAnswered())
+                            return noLeader();
+                        return documentOf(response.getVersion(), toView(response.getDocument()));
+                    },
+                    [](kj::Exception &&) -> Result<std::string> { return noLeader(); });
+}
+
+void ReplicaFront::reply(ExchangeId exchange, int status, std::string body)
+{
+    HttpReply message;
+    message.status = status;
+    message.body = std::move(body);
+    server_->reply(exchange, message);
+}
+
+void ReplicaFront::replyError(ExchangeId exchange, const Error &error)
+{
+    const int status = error.kind == ErrorKind::InvalidRequest ? 400
+            : error.kind == ErrorKind::NotFound                ? 404
+                                                               : 503;
+    const nlohmann::json body { { "error",
+                                  { { "type", errorKindName(error.kind) },
+                                    { "message", error.message },
+                                    { "remedy", error.remedy } } } };
+    reply(exchange, status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/replicafront.h
@@ -0,0 +1,74 @@
+// A control replica of a direct fleet as others see it: it hears endpoints, answers
+// routers' reports, and takes operators' orders over HTTP, which it commits itself
+// or hands to the leader.
+
+#ifndef BAMBOOGAP_NODE_REPLICAFRONT_H
+#define BAMBOOGAP_NODE_REPLICAFRONT_H
+
+#include <map>
+
+#include "control/suspects.h"
+#include "fleet/roster.h"
+#include "fleet/routerboard.h"
+#include "node/controlserver.h"
+#include "node/controltask.h"
+#include "node/dialect.h"
+#include "node/httpserver.h"
+#include "node/metrics.h"
+#include "node/peers.h"
+
+namespace bamboogap {
+
+class ReplicaFront
+{
+public:
+    struct Settings
+    {
+        std::string address; // where peers reach this replica
+        Duration endpointSilence = std::chrono::seconds(5);
+    };
+
+    ReplicaFront(EventLoop &loop, Peers &peers, ControlTask &control, const Dialect &dialect,
+                 Settings settings, Metrics &metrics);
+
+    void start();
+    void setServer(HttpServer *server) { server_ = server; }
+    // The node that peers call.
+    wire::Node::Client makeServer();
+    // The control port.
+    void handle(ExchangeId exchange, const HttpRequest &request);
+
+    void sync(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply);
+    const RouterBoard &routers() const { return routers_; }
+    const HeardRoster &roster() const { return roster_; }
+
+private:
+    void perform(ExchangeId exchange, const HeartbeatOrder &order, const HttpRequest &request);
+    void perform(ExchangeId exchange, const LeaveOrder &order, const HttpRequest &request);
+    void perform(ExchangeId exchange, const InstallRoutesOrder &order, const HttpRequest &request);
+    void perform(ExchangeId exchange, const ReadRoutesOrder &order, const HttpRequest &request);
+    void perform(ExchangeId exchange, const OutageOrder &order, const HttpRequest &request);
+
+    // Commits a command through the leader, wherever it is.
+    kj::Promise<Result<void>> commit(Command command);
+    kj::Promise<Result<std::string>> newestDocument();
+    void answerCommit(ExchangeId exchange, std::string what, Command command);
+    void reply(ExchangeId exchange, int status, std::string body);
+    void replyError(ExchangeId exchange, const Error &error);
+    bool mayAcknowledgeDeparture() const;
+
+    EventLoop &loop_;
+    Peers &peers_;
+    ControlTask &control_;
+    const Dialect &dialect_;
+    Settings settings_;
+    Metrics &metrics_;
+    HttpServer *server_ = nullptr;
+    HeardRoster roster_;
+    RouterBoard routers_;
+    Suspects suspects_;
+};
+
+} // namespace bamboogap
+
+#endif
--- a/node/settings.cc
+++ b/node/settings.cc
@@ -121,9 +121,20 @@
         return std::chrono::milliseconds(value);
     }
 
-    std::string address(const std::string &key)
+    bool flag(const std::string &key, bool fallback)
     {
-        std::string value = text(key, {}, true);
+        const YAML::Node value = find(key, false);
+        if (!value)
+            return fallback;
+        bool parsed = fallback;
+        if (!YAML::convert<bool>::decode(value, parsed))
+            problem(key, "is neither true nor false", "give true or false");
+        return parsed;
+    }
+
+    std::string address(const std::string &key, bool required = true)
+    {
+        std::string value = text(key, {}, required);
         if (value.empty())
             return value;
         if (auto parsed = parseSocketAddress(value); !parsed)
@@ -210,23 +221,83 @@
     settings.stopNotice = section.millis("stop_notice_ms", settings.stopNotice, 0, 60000);
 }
 
+// Which forwarding the settings ask for decides what the other sections need.
+Forwarding readForwarding(const YAML::Node &root, Problems &problems)
+{
+    const YAML::Node fleet = root["fleet"];
+    const YAML::Node value = fleet && fleet.IsMap() ? fleet["forwarding"] : YAML::Node();
+    if (!value || value.IsNull())
+        return Forwarding::Owner;
+    const std::string name = value.IsScalar() ? value.Scalar() : "...";
+    if (name == "direct")
+        return Forwarding::Direct;
+    if (name != "owner") {
+        problems.add(value.Mark(), "fleet.forwarding", fmt::format("'{}' is not known", name),
+                     "use owner or direct");
+    }
+    return Forwarding::Owner;
+}
+
 void readListen(const YAML::Node &root, Settings &settings, Problems &problems)
 {
     Section section(root, "listen", problems);
+    ListenSettings &listen = settings.listen;
+    const bool direct = settings.forwarding == Forwarding::Direct;
+    struct Port
+    {
+        const char *key;
+        std::string *target;
+        bool required;
+    };
+    std::vector<Port> ports { { "callers", &listen.callers, !direct },
+                              { "operators", &listen.operators, true },
+                              { "peers", &listen.peers, true } };
+    if (direct) {
+        ports.push_back({ "readiness", &listen.readiness, false });
+        ports.push_back({ "control", &listen.control, false });
+    } else {
+        ports.push_back({ "endpoints", &listen.endpoints, true });
+    }
     std::map<std::string, std::string> taken;
-    for (const auto &[key, target] : { std::pair { "callers", &settings.listen.callers },
-                                       std::pair { "endpoints", &settings.listen.endpoints },
-                                       std::pair { "operators", &settings.listen.operators },
-                                       std::pair { "peers", &settings.listen.peers } }) {
-        *target = section.address(key);
-        if (target->empty())
+    for (const Port &port : ports) {
+        *port.target = section.address(port.key, port.required);
+        if (port.target->empty())
             continue;
-        const auto [clash, added] = taken.emplace(*target, key);
+        const auto [clash, added] = taken.emplace(*port.target, port.key);
         if (!added) {
-            section.problem(key, fmt::format("has the address of listen.{}", clash->second),
+            section.problem(port.key, fmt::format("has the address of listen.{}", clash->second),
                             "give each its own port");
         }
     }
+    if (direct && listen.control.empty() == settings.dataFolder.has_value()) {
+        section.problem("control", "does not fit node.data_folder",
+                        "give both on a control replica and neither on a router");
+    }
+}
+
+// The peers' addresses of the replicas on the seeds' machines: a seed may name
+// another port of its machine.
+std::vector<std::string> peersOfSeeds(const Settings &settings)
+{
+    std::vector<std::string> peers;
+    const auto own = parseSocketAddress(settings.listen.peers);
+    for (const std::string &seed : settings.direct.seeds) {
+        const auto parsed = parseSocketAddress(seed);
+        if (own && parsed)
+            peers.push_back(fmt::format("{}:{}", parsed->host, own->port));
+    }
+    return peers;
+}
+
+void readDirectFleet(Section &section, Settings &settings)
+{
+    section.text("forwarding");
+    settings.direct.seeds = section.addresses("seeds");
+    settings.controlReplicas = peersOfSeeds(settings);
+    settings.direct.firstStart = section.flag("first_start", false);
+    settings.direct.sync = section.millis("sync_ms", settings.direct.sync, 20, 10000);
+    settings.coordinator.endpoints.silence = section.millis(
+            "endpoint_silence_ms", settings.coordinator.endpoints.silence, 500, 600000);
 }
 
 void readFleet(const YAML::Node &root, Settings &settings, Problems &problems)
@@ -237,6 +308,11 @@
         section.problem("key", "is too short",
                         fmt::format("use at least {} random characters", kLeastKeyLength));
     }
+    if (settings.forwarding == Forwarding::Direct) {
+        readDirectFleet(section, settings);
+        return;
+    }
+    section.text("forwarding");
     settings.controlReplicas = section.addresses("control_replicas");
     settings.heartbeat = section.millis("heartbeat_ms", settings.heartbeat, 20, 10000);
     settings.coordinator.lease = section.millis("lease_ms", settings.coordinator.lease, 100, 60000);
@@ -295,6 +371,14 @@
 {
     Section section(root, "routing", problems);
     RoutingSettings &routing = settings.routing;
+    if (settings.forwarding == Forwarding::Direct) {
+        RetryWindowSettings &retries = settings.direct.retries;
+        retries.ratio = section.number<double>("retry_share", retries.ratio, 0.0, 1.0, "a share");
+        retries.slack = section.number<double>("retry_reserve", retries.slack, 0.0, 100000.0,
+                                               "retries");
+        retries.window = section.millis("retry_window_ms", retries.window, 1000, 600000);
+        return;
+    }
     routing.loadMultiple
             = section.number<double>("load_multiple", routing.loadMultiple, 1.0, 10.0, "a number");
     routing.placement.newChatMultiple = section.number<double>(
@@ -373,6 +457,7 @@
                 problems.add(item.first.Mark(), name, "is not known",
                              fmt::format("use the sections: {}", fmt::join(sections, ", ")));
         }
+        settings.forwarding = readForwarding(root, problems);
         readNode(root, settings, problems);
         readListen(root, settings, problems);
         readFleet(root, settings, problems);
--- a/node/settings.h
+++ b/node/settings.h
@@ -20,6 +20,7 @@
 #include "routing/admission.h"
 #include "routing/placement.h"
 #include "routing/retrybudget.h"
+#include "routing/retrywindow.h"
 
 namespace bamboogap {
 
@@ -29,6 +30,22 @@
     std::string endpoints; // announcements
     std::string operators; // operators and the platform's probes
     std::string peers; // other nodes of the fleet
+    // Of a direct fleet; empty on nodes without that part.
+    std::string readiness; // the balancer's probe
+    std::string control; // operators' orders and endpoints' heartbeats
+};
+
+// How requests reach endpoints: through each endpoint's one owner, or straight from
+// the router that the caller reached.
+enum class Forwarding { Owner, Direct };
+
+// Of a direct fleet; see docs/DESIGN.md.
+struct DirectSettings
+{
+    std::vector<std::string> seeds; // addresses on the machines of some replicas
+    bool firstStart = false; // the fleet starts for the first time, on empty disks
+    RetryWindowSettings retries;
+    Duration sync = std::chrono::milliseconds(250); // between a router's reports
 };
 
 struct HttpLimits
@@ -63,6 +80,8 @@
     ListenSettings listen;
     std::string fleetKey;
     std::vector<std::string> controlReplicas; // peer addresses
+    Forwarding forwarding = Forwarding::Owner;
+    DirectSettings direct;
     Duration heartbeat = std::chrono::milliseconds(500);
     RaftTiming raft;
     CoordinatorSettings coordinator;
--- /dev/null
+++ b/node/synctask.cc
@@ -0,0 +1,333 @@
+// Reports and answers between a direct router and the control replicas.
+
+#include "node/synctask.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "base/log.h"
+#include "node/convert.h"
+
+namespace bamboogap {
+
+namespace {
+
+// An answer takes two crossings and a few milliseconds of a small processor; a
+// replica that needs longer is cut off or stands still.
+constexpr Duration kAnswerLimit = std::chrono::milliseconds(900);
+constexpr Duration kRoutesLimit = std::chrono::seconds(3);
+// Between attempts at a replica that did not answer.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(700);
+// A replica that did not answer for this long no longer vouches for endpoints.
+constexpr Duration kReplicaLost = std::chrono::milliseconds(2500);
+// A router that starts while no leader is found serves by any replica's routes
+// after this.
+constexpr Duration kTrustAnyReplica = std::chrono::seconds(3);
+// Each router adds this to the interval, so that a replica's work stays bounded in
+// a large fleet: 2,000 reports a second would take a fifth of a core.
+constexpr Duration kIntervalPerRouter = std::chrono::milliseconds(8);
+constexpr size_t kMaxCrashesKept = 256;
+
+EndpointRecord read(wire::EndpointRecord::Reader reader)
+{
+    EndpointRecord record;
+    record.id = toView(reader.getId());
+    record.bornMillis = reader.getBornMillis();
+    record.sequence = reader.getSequence();
+    record.service = toView(reader.getService());
+    record.address = toView(reader.getAddress());
+    record.dataCentre = toView(reader.getDataCentre());
+    record.slots = reader.getSlots();
+    record.warmupLeftMillis = reader.getWarmupLeftMillis();
+    record.state = static_cast<EndpointState>(std::min<uint8_t>(
+            reader.getState(), static_cast<uint8_t>(EndpointState::Gone)));
+    record.heard = reader.getHeard();
+    for (const auto model : reader.getModels())
+        record.models.push_back({ std::string(toView(model.getName())), model.getVersion() });
+    return record;
+}
+
+} // namespace
+
+SyncTask::SyncTask(EventLoop &loop, Peers &peers, SyncSettings settings, Hooks hooks)
+    : loop_(loop)
+    , peers_(peers)
+    , settings_(std::move(settings))
+    , hooks_(std::move(hooks))
+    , startedAt_(BootClock::now())
+{
+}
+
+void SyncTask::start()
+{
+    followReplicas();
+    syncAll();
+}
+
+std::vector<std::string> SyncTask::targets() const
+{
+    std::set<std::string> all(settings_.seeds.begin(), settings_.seeds.end());
+    all.insert(members_.begin(), members_.end());
+    return { all.begin(), all.end() };
+}
+
+void SyncTask::followReplicas()
+{
+    const auto wanted = targets();
+    for (const std::string &address : wanted)
+        links_.try_emplace(address);
+    std::erase_if(links_, [&](const auto &item) {
+        return !item.second.inFlight
+                && std::find(wanted.begin(), wanted.end(), item.first) == wanted.end();
+    });
+}
+
+void SyncTask::syncAll()
+{
+    const Instant now = BootClock::now();
+    markLost(now);
+    for (auto &[address, link] : links_) {
+        if (!link.inFlight && now >= link.askAgainAt)
+            sync(address);
+    }
+    const Duration interval
+            = std::max<Duration>(settings_.interval, fleet_.routers * kIntervalPerRouter);
+    loop_.detach(loop_.sleep(interval).then([this]() { syncAll(); }), "sync");
+}
+
+// A replica's word on endpoints ends with the connection to it, but only while
+// others answer: a router that is cut off from all keeps what it knows.
+void SyncTask::markLost(Instant now)
+{
+    if (replicasAnswering(now) == 0)
+        return;
+    for (auto &[address, link] : links_) {
+        if (link.rosterEpoch == 0 || now - link.answeredAt < kReplicaLost)
+            continue;
+        roster_.replicaLost(address);
+        link.rosterEpoch = 0;
+        link.rosterVersion = 0;
+    }
+}
+
+void SyncTask::sync(const std::string &address)
+{
+    ReplicaLink &link = links_[address];
+    auto call = peers_.node(address, Lane::Control).syncRequest();
+    auto request = call.initRequest();
+    request.setRouter(settings_.name);
+    request.setIncarnation(settings_.incarnation);
+    request.setDataCentre(settings_.dataCentre);
+    request.setRosterEpoch(link.rosterEpoch);
+    request.setRosterVersion(link.rosterVersion);
+    request.setSuspectsVersion(link.suspectsVersion);
+    request.setLeaving(leaving_);
+    request.setRoutesVersion(table_ ? table_->version() : 0);
+    const std::vector<EndpointUse> own = hooks_.uses();
+    auto uses = request.initUses(own.size());
+    for (size_t i = 0; i < own.size(); ++i) {
+        uses[i].setKey(own[i].key);
+        uses[i].setRunning(std::min<uint32_t>(own[i].running, UINT16_MAX));
+        uses[i].setUnreadTokens(own[i].unreadTokens);
+    }
+    const size_t known = std::min(link.crashesSent, crashes_.size());
+    auto crashes = request.initCrashes(crashes_.size() - known);
+    for (size_t i = known; i < crashes_.size(); ++i) {
+        crashes[i - known].setFingerprint(crashes_[i].fingerprint);
+        crashes[i - known].setCrash(crashes_[i].name);
+    }
+    const size_t sent = crashes_.size();
+    link.inFlight = true;
+    loop_.detach(loop_.within(kAnswerLimit, call.send())
+                         .then(
+                                 [this, address, sent](auto &&response) {
+                                     links_[address].crashesSent = sent;
+                                     onReply(address, response.getReply());
+                                 },
+                                 [this, address](kj::Exception &&problem) {
+                                     onFailure(address, problem);
+                                 }),
+                 "sync");
+}
+
+void SyncTask::onFailure(const std::string &address, const kj::Exception &problem)
+{
+    ReplicaLink &link = links_[address];
+    link.inFlight = false;
+    link.askAgainAt = BootClock::now() + kRetryAfter;
+    peers_.drop(address, Lane::Control);
+    if (!link.reachable)
+        return;
+    link.reachable = false;
+    logEvent(LogLevel::Warning, "replica_lost",
+             { { "replica", address },
+               { "reason", std::string(problem.getDescription().cStr()) },
+               { "replicas_left", fmt::to_string(replicasAnswering(BootClock::now())) } });
+}
+
+void SyncTask::onReply(const std::string &address, wire::SyncReply::Reader reply)
+{
+    const Instant now = BootClock::now();
+    ReplicaLink &link = links_[address];
+    link.inFlight = false;
+    link.answeredAt = now;
+    if (!link.reachable) {
+        link.reachable = true;
+        logEvent(LogLevel::Info, "replica_reached",
+                 { { "replica", address }, { "current", reply.getCurrent() ? "yes" : "no" } });
+    }
+    if (reply.getCurrent()) {
+        confirmed_ = true;
+        confirmedAt_ = now;
+        confirmedVersion_ = std::max(confirmedVersion_, reply.getRoutesVersion());
+    }
+    RosterChanges changes;
+    changes.epoch = reply.getRosterEpoch();
+    changes.version = reply.getRosterVersion();
+    changes.full = reply.getRosterFull();
+    for (const auto record : reply.getChanged())
+        changes.records.push_back(read(record));
+    roster_.apply(address, changes, now);
+    link.rosterEpoch = changes.epoch;
+    link.rosterVersion = changes.version;
+
+    bool changed = false;
+    if (reply.getRevision() > deploymentRevision_) {
+        deploymentRevision_ = reply.getRevision();
+        std::set<std::string> out;
+        for (const auto name : reply.getDataCentresOut())
+            out.emplace(toView(name));
+        if (out != dataCentresOut_) {
+            dataCentresOut_ = std::move(out);
+            logEvent(LogLevel::Info, "data_centres_out",
+                     { { "out", fmt::format("{}", fmt::join(dataCentresOut_, ",")) },
+                       { "revision", fmt::to_string(deploymentRevision_) },
+                       { "replica", address } });
+        }
+        changed = true;
+    }
+    if (reply.getReplicas().size() > 0 && reply.getCurrent()) {
+        std::vector<std::string> members;
+        for (const auto member : reply.getReplicas())
+            members.emplace_back(toView(member));
+        if (members != members_) {
+            members_ = std::move(members);
+            followReplicas();
+        }
+    }
+    others_.clear();
+    for (const auto use : reply.getUses())
+        others_.push_back({ use.getKey(), use.getRunning(), use.getUnreadTokens() });
+    fleet_ = { std::max<uint32_t>(1, reply.getRouters()), reply.getRank() };
+    link.suspectsVersion = reply.getSuspectsVersion();
+    if (reply.getHasSuspects()) {
+        for (const auto item : reply.getSuspects())
+            suspects_[item.getFingerprint()] = static_cast<Standing>(item.getStanding());
+    }
+    if (!table_ || reply.getRoutesVersion() > table_->version())
+        fetchRoutes(address);
+    changed = changed || rosterSeen_ != roster_.version();
+    rosterSeen_ = roster_.version();
+    (void)changed;
+    hooks_.changed();
+}
+
+void SyncTask::fetchRoutes(const std::string &address)
+{
+    if (fetching_)
+        return;
+    fetching_ = true;
+    auto call = peers_.node(address, Lane::Control).routesRequest();
+    loop_.detach(loop_.within(kRoutesLimit, call.send())
+                         .then(
+                                 [this](auto &&response) {
+                                     fetching_ = false;
+                                     install(response.getVersion(),
+                                             toView(response.getDocument()));
+                                 },
+                                 [this, address](kj::Exception &&problem) {
+                                     fetching_ = false;
+                                     logEvent(LogLevel::Warning, "routes_not_fetched",
+                                              { { "replica", address },
+                                                { "reason",
+                                                  std::string(problem.getDescription().cStr()) } });
+                                 }),
+                 "fetch routes");
+}
+
+void SyncTask::install(uint64_t version, std::string_view document)
+{
+    if (version == 0 || (table_ && version <= table_->version()))
+        return;
+    auto parsed = hooks_.parseRoutes(document);
+    if (!parsed) {
+        logEvent(LogLevel::Error, "routes_refused",
+                 { { "version", fmt::to_string(version) },
+                   { "problem", parsed.error().message },
+                   { "remedy", parsed.error().remedy } });
+        return;
+    }
+    table_ = std::make_shared<const RouteTable>(std::move(*parsed));
+    logEvent(LogLevel::Info, "routes_in_force",
+             { { "version", fmt::to_string(version) },
+               { "routes", fmt::to_string(table_->routes().size()) } });
+    hooks_.changed();
+}
+
+void SyncTask::leave()
+{
+    leaving_ = true;
+    for (auto &[address, link] : links_) {
+        if (!link.inFlight)
+            sync(address);
+    }
+}
+
+void SyncTask::reportCrash(const Crash &crash)
+{
+    if (crashes_.size() >= kMaxCrashesKept) {
+        crashes_.clear();
+        for (auto &[address, link] : links_)
+            link.crashesSent = 0;
+    }
+    crashes_.push_back(crash);
+    for (auto &[address, link] : links_) {
+        if (!link.inFlight && link.reachable)
+            sync(address);
+    }
+}
+
+void SyncTask::setSeeds(std::vector<std::string> seeds)
+{
+    settings_.seeds = std::move(seeds);
+    followReplicas();
+}
+
+Standing SyncTask::standingOf(Fingerprint fingerprint) const
+{
+    const auto found = suspects_.find(fingerprint);
+    return found == suspects_.end() ? Standing::Clear : found->second;
+}
+
+bool SyncTask::isReady(Instant now) const
+{
+    if (!table_)
+        return false;
+    return (confirmed_ && table_->version() >= confirmedVersion_)
+            || now - startedAt_ > kTrustAnyReplica;
+}
+
+Duration SyncTask::knowledgeAge(Instant now) const
+{
+    return now - (confirmed_ ? confirmedAt_ : startedAt_);
+}
+
+size_t SyncTask::replicasAnswering(Instant now) const
+{
+    return std::count_if(links_.begin(), links_.end(), [now](const auto &item) {
+        return item.second.answeredAt != Instant {} && now - item.second.answeredAt < kReplicaLost;
+    });
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/synctask.h
@@ -0,0 +1,127 @@
+// A direct router's link to the control replicas.
+//
+// The router reports its work to every replica it can reach and takes from each
+// answer what is newer than what it knows: the deployment, the roster of endpoints, the work of the
+// other routers and the suspects. When no replica answers it goes on with what it
+// knows; the age of that knowledge is in the status and the metrics.
+
+#ifndef BAMBOOGAP_NODE_SYNCTASK_H
+#define BAMBOOGAP_NODE_SYNCTASK_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/suspects.h"
+#include "fleet/roster.h"
+#include "fleet/routerboard.h"
+#include "node/eventloop.h"
+#include "node/peers.h"
+#include "routing/coldpace.h"
+#include "routing/routetable.h"
+
+namespace bamboogap {
+
+// A crash of an endpoint under a request.
+struct Crash
+{
+    Fingerprint fingerprint = 0;
+    std::string name; // of the crash: endpoint and birth
+};
+
+struct SyncSettings
+{
+    std::string name;
+    uint64_t incarnation = 0;
+    std::string dataCentre;
+    std::vector<std::string> seeds; // peers' addresses of replicas
+    Duration interval = std::chrono::milliseconds(250);
+};
+
+class SyncTask
+{
+public:
+    struct Hooks
+    {
+        std::function<std::vector<EndpointUse>()> uses;
+        std::function<Result<RouteTable>(std::string_view)> parseRoutes;
+        // Something of the below has changed.
+        std::function<void()> changed;
+    };
+
+    SyncTask(EventLoop &loop, Peers &peers, SyncSettings settings, Hooks hooks);
+
+    void start();
+    // Tells the replicas that this router ends.
+    void leave();
+    void reportCrash(const Crash &crash);
+    void setSeeds(std::vector<std::string> seeds);
+
+    const std::shared_ptr<const RouteTable> &table() const { return table_; }
+    const std::set<std::string> &dataCentresOut() const { return dataCentresOut_; }
+    MergedRoster &roster() { return roster_; }
+    const std::vector<EndpointUse> &others() const { return others_; }
+    FleetSize fleet() const { return fleet_; }
+    Standing standingOf(Fingerprint fingerprint) const;
+
+    // True once the router may serve: a replica in touch with a leader has answered
+    // and its routes are known, or no such replica was found for a while but some
+    // routes are.
+    bool isReady(Instant now) const;
+    // Since a replica in touch with a leader last answered.
+    Duration knowledgeAge(Instant now) const;
+    size_t replicasAnswering(Instant now) const;
+
+private:
+    struct ReplicaLink
+    {
+        bool inFlight = false;
+        bool reachable = false;
+        uint64_t rosterEpoch = 0;
+        uint64_t rosterVersion = 0;
+        uint64_t suspectsVersion = 0;
+        Instant answeredAt {};
+        Instant askAgainAt {};
+        size_t crashesSent = 0; // of crashes_ that the replica has
+    };
+
+    void syncAll();
+    void sync(const std::string &address);
+    void onReply(const std::string &address, wire::SyncReply::Reader reply);
+    void onFailure(const std::string &address, const kj::Exception &problem);
+    void fetchRoutes(const std::string &address);
+    void install(uint64_t version, std::string_view document);
+    void followReplicas();
+    void markLost(Instant now);
+    std::vector<std::string> targets() const;
+
+    EventLoop &loop_;
+    Peers &peers_;
+    SyncSettings settings_;
+    Hooks hooks_;
+    std::map<std::string, ReplicaLink> links_;
+    std::vector<std::string> members_; // of the control group, as last told
+    uint64_t membersRevision_ = 0;
+    std::shared_ptr<const RouteTable> table_;
+    uint64_t deploymentRevision_ = 0;
+    std::set<std::string> dataCentresOut_;
+    MergedRoster roster_;
+    uint64_t rosterSeen_ = 0;
+    std::vector<EndpointUse> others_;
+    FleetSize fleet_;
+    std::map<Fingerprint, Standing> suspects_;
+    std::vector<Crash> crashes_;
+    bool fetching_ = false;
+    bool leaving_ = false;
+    Instant startedAt_ {};
+    Instant confirmedAt_ {};
+    bool confirmed_ = false; // a replica in touch with a leader has answered
+    uint64_t confirmedVersion_ = 0; // of the routes, as it said
+};
+
+} // namespace bamboogap
+
+#endif
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -182,6 +182,70 @@
   waitedMicros @6 :Int64;
 }
 
+# ---- Direct routers and the replicas they follow ------------------------------
+
+struct ModelOffer {
+  name @0 :Text;
+  version @1 :Int64;
+}
+
+struct EndpointRecord {
+  id @0 :Text;
+  bornMillis @1 :Int64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  address @4 :Text;
+  dataCentre @5 :Text;
+  slots @6 :UInt32;
+  warmupLeftMillis @7 :UInt32;
+  state @8 :UInt8;
+  heard @9 :Bool;  # false: silent for longer than an endpoint may be
+  models @10 :List(ModelOffer);
+}
+
+# What one router has under way at an endpoint.
+struct EndpointUse {
+  key @0 :UInt64;
+  running @1 :UInt16;
+  unreadTokens @2 :UInt32;  # of prompts whose first token has not come
+}
+
+struct CrashReport {
+  fingerprint @0 :UInt64;
+  crash @1 :Text;  # names the crash: endpoint and its birth
+}
+
+struct SyncRequest {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  rosterEpoch @3 :UInt64;  # of the replica's roster that the router knows
+  rosterVersion @4 :UInt64;
+  uses @5 :List(EndpointUse);
+  crashes @6 :List(CrashReport);  # since the last sync that was answered
+  suspectsVersion @7 :UInt64;
+  leaving @8 :Bool;
+  routesVersion @9 :UInt64;  # that the router acts by
+}
+
+struct SyncReply {
+  current @0 :Bool;  # the replica leads or follows a live leader
+  revision @1 :UInt64;  # of the deployment
+  routesVersion @2 :UInt64;
+  dataCentresOut @3 :List(Text);
+  rosterEpoch @4 :UInt64;
+  rosterVersion @5 :UInt64;
+  rosterFull @6 :Bool;
+  changed @7 :List(EndpointRecord);
+  uses @8 :List(EndpointUse);  # of all other routers together
+  routers @9 :UInt16;  # heard a moment ago, this one included
+  replicas @10 :List(Text);
+  suspectsVersion @11 :UInt64;
+  suspects @12 :List(SuspectChange);
+  hasSuspects @13 :Bool;
+  rank @14 :UInt16;  # of this router among them, by name
+}
+
 interface AnswerSink {
   head @0 (status :UInt16, contentType :Text) -> ();
   chunk @1 (data :Data) -> stream;
@@ -223,6 +287,15 @@
 
   # Send a heartbeat now: the leader has news, or samples the loads.
   poke @9 (sample :UInt64) -> ();
+
+  # What a direct router reports to each replica a few times a second, and learns.
+  sync @10 (request :SyncRequest) -> (reply :SyncReply);
+
+  # The route document that a replica has applied.
+  routes @11 () -> (version :UInt64, document :Data);
+
+  # The same from the leader, so that it is the newest that was acknowledged.
+  newestRoutes @12 () -> (answered :Bool, version :UInt64, document :Data, leader :LeaderHint);
 }
 
 # What a connection starts with: only a peer that knows the fleet's key gets on.
