--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -49,6 +49,12 @@
 CAPNP_DECLARE_ENUM(ForwardResult, 8ae65f435b65d3ba);
 CAPNP_DECLARE_SCHEMA(a7d9fb639cda5c69);
 CAPNP_DECLARE_SCHEMA(89bac7580ddc632f);
+CAPNP_DECLARE_SCHEMA(9248cbf7fee31fe9);
+CAPNP_DECLARE_SCHEMA(ad9f990f42731555);
+CAPNP_DECLARE_SCHEMA(b4717f845e96b26c);
+CAPNP_DECLARE_SCHEMA(adae6e5e44840763);
+CAPNP_DECLARE_SCHEMA(9079cdf40b7c7355);
+CAPNP_DECLARE_SCHEMA(c20538f9036bc713);
 CAPNP_DECLARE_SCHEMA(a4b62f89f58a954a);
 CAPNP_DECLARE_SCHEMA(e2909cad15773a9e);
 CAPNP_DECLARE_SCHEMA(866f4a996eea3694);
@@ -77,6 +83,12 @@
 CAPNP_DECLARE_SCHEMA(81b248c1ec558cea);
 CAPNP_DECLARE_SCHEMA(c652b97a85b7a1fa);
 CAPNP_DECLARE_SCHEMA(c947f049c49d394b);
+CAPNP_DECLARE_SCHEMA(f60a6299296076fe);
+CAPNP_DECLARE_SCHEMA(d7285c85d0216b49);
+CAPNP_DECLARE_SCHEMA(d3764b1689319041);
+CAPNP_DECLARE_SCHEMA(ae9ea571f5a781ae);
+CAPNP_DECLARE_SCHEMA(847c9cde0e21a1e4);
+CAPNP_DECLARE_SCHEMA(b4041f133029c42b);
 CAPNP_DECLARE_SCHEMA(f43cc6d0a7eeaae3);
 CAPNP_DECLARE_SCHEMA(f27e33d3bd00368c);
 CAPNP_DECLARE_SCHEMA(cce3184e3f4610ed);
@@ -346,6 +358,96 @@
   };
 };
 
+struct ModelOffer {
+  ModelOffer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9248cbf7fee31fe9, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointRecord {
+  EndpointRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad9f990f42731555, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointUse {
+  EndpointUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b4717f845e96b26c, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(adae6e5e44840763, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SyncRequest {
+  SyncRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SyncReply {
+  SyncReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c20538f9036bc713, 6, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct AnswerSink {
   AnswerSink() = delete;
 
@@ -486,6 +588,12 @@
   struct RemoveReplicaResults;
   struct PokeParams;
   struct PokeResults;
+  struct SyncParams;
+  struct SyncResults;
+  struct RoutesParams;
+  struct RoutesResults;
+  struct NewestRoutesParams;
+  struct NewestRoutesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -795,6 +903,96 @@
   };
 };
 
+struct Node::SyncParams {
+  SyncParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f60a6299296076fe, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::SyncResults {
+  SyncResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7285c85d0216b49, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::RoutesParams {
+  RoutesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3764b1689319041, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::RoutesResults {
+  RoutesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ae9ea571f5a781ae, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::NewestRoutesParams {
+  NewestRoutesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(847c9cde0e21a1e4, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::NewestRoutesResults {
+  NewestRoutesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b4041f133029c42b, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -2821,73 +3019,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class AnswerSink::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef AnswerSink Calls;
-  typedef AnswerSink Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::bamboogap::wire::AnswerSink::HeadParams,  ::bamboogap::wire::AnswerSink::HeadResults> headRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::StreamingRequest< ::bamboogap::wire::AnswerSink::ChunkParams> chunkRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::AnswerSink::EndParams,  ::bamboogap::wire::AnswerSink::EndResults> endRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class AnswerSink::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef AnswerSink Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::bamboogap::wire::AnswerSink::HeadParams HeadParams;
-  typedef  ::bamboogap::wire::AnswerSink::HeadResults HeadResults;
-  typedef ::capnp::CallContext<HeadParams, HeadResults> HeadContext;
-  virtual ::kj::Promise<void> head(HeadContext context);
-  typedef  ::bamboogap::wire::AnswerSink::ChunkParams ChunkParams;
-  typedef ::capnp::StreamingCallContext<ChunkParams> ChunkContext;
-  virtual ::kj::Promise<void> chunk(ChunkContext context);
-  typedef  ::bamboogap::wire::AnswerSink::EndParams EndParams;
-  typedef  ::bamboogap::wire::AnswerSink::EndResults EndResults;
-  typedef ::capnp::CallContext<EndParams, EndResults> EndContext;
-  virtual ::kj::Promise<void> end(EndContext context);
-
-  inline  ::bamboogap::wire::AnswerSink::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::bamboogap::wire::AnswerSink>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class AnswerSink::HeadParams::Reader {
+class ModelOffer::Reader {
 public:
-  typedef HeadParams Reads;
+  typedef ModelOffer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2902,10 +3036,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasContentType() const;
-  inline  ::capnp::Text::Reader getContentType() const;
+  inline  ::int64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2919,9 +3053,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AnswerSink::HeadParams::Builder {
+class ModelOffer::Builder {
 public:
-  typedef HeadParams Builds;
+  typedef ModelOffer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2935,15 +3069,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasContentType();
-  inline  ::capnp::Text::Builder getContentType();
-  inline void setContentType( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2955,9 +3089,9 @@
 };
 
 #if !CAPNP_LITE
-class AnswerSink::HeadParams::Pipeline {
+class ModelOffer::Pipeline {
 public:
-  typedef HeadParams Pipelines;
+  typedef ModelOffer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2971,9 +3105,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AnswerSink::HeadResults::Reader {
+class EndpointRecord::Reader {
 public:
-  typedef HeadResults Reads;
+  typedef EndpointRecord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2988,6 +3122,33 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::int64_t getBornMillis() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline  ::uint32_t getWarmupLeftMillis() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline bool getHeard() const;
+
+  inline bool hasModels() const;
+  inline  ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Reader getModels() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3000,9 +3161,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AnswerSink::HeadResults::Builder {
+class EndpointRecord::Builder {
 public:
-  typedef HeadResults Builds;
+  typedef EndpointRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3016,7 +3177,60 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::int64_t getBornMillis();
+  inline void setBornMillis( ::int64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint32_t getWarmupLeftMillis();
+  inline void setWarmupLeftMillis( ::uint32_t value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline bool getHeard();
+  inline void setHeard(bool value);
+
+  inline bool hasModels();
+  inline  ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Builder getModels();
+  inline void setModels( ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Builder initModels(unsigned int size);
+  inline void adoptModels(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>> disownModels();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3026,9 +3240,9 @@
 };
 
 #if !CAPNP_LITE
-class AnswerSink::HeadResults::Pipeline {
+class EndpointRecord::Pipeline {
 public:
-  typedef HeadResults Pipelines;
+  typedef EndpointRecord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3042,9 +3256,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AnswerSink::ChunkParams::Reader {
+class EndpointUse::Reader {
 public:
-  typedef ChunkParams Reads;
+  typedef EndpointUse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3059,8 +3273,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasData() const;
-  inline  ::capnp::Data::Reader getData() const;
+  inline  ::uint64_t getKey() const;
+
+  inline  ::uint16_t getRunning() const;
+
+  inline  ::uint32_t getUnreadTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3074,9 +3291,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AnswerSink::ChunkParams::Builder {
+class EndpointUse::Builder {
 public:
-  typedef ChunkParams Builds;
+  typedef EndpointUse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3090,12 +3307,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasData();
-  inline  ::capnp::Data::Builder getData();
-  inline void setData( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initData(unsigned int size);
-  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownData();
+  inline  ::uint64_t getKey();
+  inline void setKey( ::uint64_t value);
+
+  inline  ::uint16_t getRunning();
+  inline void setRunning( ::uint16_t value);
+
+  inline  ::uint32_t getUnreadTokens();
+  inline void setUnreadTokens( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3107,9 +3326,9 @@
 };
 
 #if !CAPNP_LITE
-class AnswerSink::ChunkParams::Pipeline {
+class EndpointUse::Pipeline {
 public:
-  typedef ChunkParams Pipelines;
+  typedef EndpointUse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3123,9 +3342,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AnswerSink::EndParams::Reader {
+class CrashReport::Reader {
 public:
-  typedef EndParams Reads;
+  typedef CrashReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3140,6 +3359,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getFingerprint() const;
+
+  inline bool hasCrash() const;
+  inline  ::capnp::Text::Reader getCrash() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3152,9 +3376,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AnswerSink::EndParams::Builder {
+class CrashReport::Builder {
 public:
-  typedef EndParams Builds;
+  typedef CrashReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3168,6 +3392,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline bool hasCrash();
+  inline  ::capnp::Text::Builder getCrash();
+  inline void setCrash( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCrash(unsigned int size);
+  inline void adoptCrash(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCrash();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3178,9 +3412,9 @@
 };
 
 #if !CAPNP_LITE
-class AnswerSink::EndParams::Pipeline {
+class CrashReport::Pipeline {
 public:
-  typedef EndParams Pipelines;
+  typedef CrashReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3194,9 +3428,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AnswerSink::EndResults::Reader {
+class SyncRequest::Reader {
 public:
-  typedef EndResults Reads;
+  typedef SyncRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3211,6 +3445,30 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRouter() const;
+  inline  ::capnp::Text::Reader getRouter() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint64_t getRosterEpoch() const;
+
+  inline  ::uint64_t getRosterVersion() const;
+
+  inline bool hasUses() const;
+  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline  ::uint64_t getSuspectsVersion() const;
+
+  inline bool getLeaving() const;
+
+  inline  ::uint64_t getRoutesVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3223,9 +3481,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AnswerSink::EndResults::Builder {
+class SyncRequest::Builder {
 public:
-  typedef EndResults Builds;
+  typedef SyncRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3239,6 +3497,52 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRouter();
+  inline  ::capnp::Text::Builder getRouter();
+  inline void setRouter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRouter(unsigned int size);
+  inline void adoptRouter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRouter();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint64_t getRosterEpoch();
+  inline void setRosterEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getRosterVersion();
+  inline void setRosterVersion( ::uint64_t value);
+
+  inline bool hasUses();
+  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder getUses();
+  inline void setUses( ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>> disownUses();
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline  ::uint64_t getSuspectsVersion();
+  inline void setSuspectsVersion( ::uint64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::uint64_t getRoutesVersion();
+  inline void setRoutesVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3249,9 +3553,9 @@
 };
 
 #if !CAPNP_LITE
-class AnswerSink::EndResults::Pipeline {
+class SyncRequest::Pipeline {
 public:
-  typedef EndResults Pipelines;
+  typedef SyncRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3265,9 +3569,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeaderHint::Reader {
+class SyncReply::Reader {
 public:
-  typedef LeaderHint Reads;
+  typedef SyncReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3282,10 +3586,40 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
+  inline bool getCurrent() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getRoutesVersion() const;
+
+  inline bool hasDataCentresOut() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDataCentresOut() const;
+
+  inline  ::uint64_t getRosterEpoch() const;
+
+  inline  ::uint64_t getRosterVersion() const;
+
+  inline bool getRosterFull() const;
+
+  inline bool hasChanged() const;
+  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader getChanged() const;
+
+  inline bool hasUses() const;
+  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
+
+  inline  ::uint16_t getRouters() const;
+
+  inline bool hasReplicas() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getReplicas() const;
+
+  inline  ::uint64_t getSuspectsVersion() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+  inline bool getHasSuspects() const;
+
+  inline  ::uint16_t getRank() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3299,9 +3633,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeaderHint::Builder {
+class SyncReply::Builder {
 public:
-  typedef LeaderHint Builds;
+  typedef SyncReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3315,15 +3649,72 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
+  inline bool getCurrent();
+  inline void setCurrent(bool value);
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getRoutesVersion();
+  inline void setRoutesVersion( ::uint64_t value);
+
+  inline bool hasDataCentresOut();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDataCentresOut();
+  inline void setDataCentresOut( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDataCentresOut(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDataCentresOut(unsigned int size);
+  inline void adoptDataCentresOut(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDataCentresOut();
+
+  inline  ::uint64_t getRosterEpoch();
+  inline void setRosterEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getRosterVersion();
+  inline void setRosterVersion( ::uint64_t value);
+
+  inline bool getRosterFull();
+  inline void setRosterFull(bool value);
+
+  inline bool hasChanged();
+  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder getChanged();
+  inline void setChanged( ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder initChanged(unsigned int size);
+  inline void adoptChanged(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>> disownChanged();
+
+  inline bool hasUses();
+  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder getUses();
+  inline void setUses( ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>> disownUses();
+
+  inline  ::uint16_t getRouters();
+  inline void setRouters( ::uint16_t value);
+
+  inline bool hasReplicas();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getReplicas();
+  inline void setReplicas( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setReplicas(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initReplicas(unsigned int size);
+  inline void adoptReplicas(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownReplicas();
+
+  inline  ::uint64_t getSuspectsVersion();
+  inline void setSuspectsVersion( ::uint64_t value);
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+  inline bool getHasSuspects();
+  inline void setHasSuspects(bool value);
+
+  inline  ::uint16_t getRank();
+  inline void setRank( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3335,9 +3726,9 @@
 };
 
 #if !CAPNP_LITE
-class LeaderHint::Pipeline {
+class SyncReply::Pipeline {
 public:
-  typedef LeaderHint Pipelines;
+  typedef SyncReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3352,11 +3743,11 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Node::Client
+class AnswerSink::Client
     : public virtual ::capnp::Capability::Client {
 public:
-  typedef Node Calls;
-  typedef Node Reads;
+  typedef AnswerSink Calls;
+  typedef AnswerSink Reads;
 
   Client(decltype(nullptr));
   explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
@@ -3370,35 +3761,21 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::bamboogap::wire::Node::ForwardParams,  ::bamboogap::wire::Node::ForwardResults> forwardRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::ChatMovedParams,  ::bamboogap::wire::Node::ChatMovedResults> chatMovedRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::HeartbeatParams,  ::bamboogap::wire::Node::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::CommandParams,  ::bamboogap::wire::Node::CommandResults> commandRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::RaftParams,  ::bamboogap::wire::Node::RaftResults> raftRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::JoinParams,  ::bamboogap::wire::Node::JoinResults> joinRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::IdentifyParams,  ::bamboogap::wire::Node::IdentifyResults> identifyRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::StatusParams,  ::bamboogap::wire::Node::StatusResults> statusRequest(
+  ::capnp::Request< ::bamboogap::wire::AnswerSink::HeadParams,  ::bamboogap::wire::AnswerSink::HeadResults> headRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::RemoveReplicaParams,  ::bamboogap::wire::Node::RemoveReplicaResults> removeReplicaRequest(
+  ::capnp::StreamingRequest< ::bamboogap::wire::AnswerSink::ChunkParams> chunkRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::bamboogap::wire::Node::PokeParams,  ::bamboogap::wire::Node::PokeResults> pokeRequest(
+  ::capnp::Request< ::bamboogap::wire::AnswerSink::EndParams,  ::bamboogap::wire::AnswerSink::EndResults> endRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Node::Server
+class AnswerSink::Server
     : public virtual ::capnp::Capability::Server {
 public:
-  typedef Node Serves;
+  typedef AnswerSink Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
@@ -3406,50 +3783,21 @@
       override;
 
 protected:
-  typedef  ::bamboogap::wire::Node::ForwardParams ForwardParams;
-  typedef  ::bamboogap::wire::Node::ForwardResults ForwardResults;
-  typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
-  virtual ::kj::Promise<void> forward(ForwardContext context);
-  typedef  ::bamboogap::wire::Node::ChatMovedParams ChatMovedParams;
-  typedef  ::bamboogap::wire::Node::ChatMovedResults ChatMovedResults;
-  typedef ::capnp::CallContext<ChatMovedParams, ChatMovedResults> ChatMovedContext;
-  virtual ::kj::Promise<void> chatMoved(ChatMovedContext context);
-  typedef  ::bamboogap::wire::Node::HeartbeatParams HeartbeatParams;
-  typedef  ::bamboogap::wire::Node::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::bamboogap::wire::Node::CommandParams CommandParams;
-  typedef  ::bamboogap::wire::Node::CommandResults CommandResults;
-  typedef ::capnp::CallContext<CommandParams, CommandResults> CommandContext;
-  virtual ::kj::Promise<void> command(CommandContext context);
-  typedef  ::bamboogap::wire::Node::RaftParams RaftParams;
-  typedef  ::bamboogap::wire::Node::RaftResults RaftResults;
-  typedef ::capnp::CallContext<RaftParams, RaftResults> RaftContext;
-  virtual ::kj::Promise<void> raft(RaftContext context);
-  typedef  ::bamboogap::wire::Node::JoinParams JoinParams;
-  typedef  ::bamboogap::wire::Node::JoinResults JoinResults;
-  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
-  virtual ::kj::Promise<void> join(JoinContext context);
-  typedef  ::bamboogap::wire::Node::IdentifyParams IdentifyParams;
-  typedef  ::bamboogap::wire::Node::IdentifyResults IdentifyResults;
-  typedef ::capnp::CallContext<IdentifyParams, IdentifyResults> IdentifyContext;
-  virtual ::kj::Promise<void> identify(IdentifyContext context);
-  typedef  ::bamboogap::wire::Node::StatusParams StatusParams;
-  typedef  ::bamboogap::wire::Node::StatusResults StatusResults;
-  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
-  virtual ::kj::Promise<void> status(StatusContext context);
-  typedef  ::bamboogap::wire::Node::RemoveReplicaParams RemoveReplicaParams;
-  typedef  ::bamboogap::wire::Node::RemoveReplicaResults RemoveReplicaResults;
-  typedef ::capnp::CallContext<RemoveReplicaParams, RemoveReplicaResults> RemoveReplicaContext;
-  virtual ::kj::Promise<void> removeReplica(RemoveReplicaContext context);
-  typedef  ::bamboogap::wire::Node::PokeParams PokeParams;
-  typedef  ::bamboogap::wire::Node::PokeResults PokeResults;
-  typedef ::capnp::CallContext<PokeParams, PokeResults> PokeContext;
-  virtual ::kj::Promise<void> poke(PokeContext context);
+  typedef  ::bamboogap::wire::AnswerSink::HeadParams HeadParams;
+  typedef  ::bamboogap::wire::AnswerSink::HeadResults HeadResults;
+  typedef ::capnp::CallContext<HeadParams, HeadResults> HeadContext;
+  virtual ::kj::Promise<void> head(HeadContext context);
+  typedef  ::bamboogap::wire::AnswerSink::ChunkParams ChunkParams;
+  typedef ::capnp::StreamingCallContext<ChunkParams> ChunkContext;
+  virtual ::kj::Promise<void> chunk(ChunkContext context);
+  typedef  ::bamboogap::wire::AnswerSink::EndParams EndParams;
+  typedef  ::bamboogap::wire::AnswerSink::EndResults EndResults;
+  typedef ::capnp::CallContext<EndParams, EndResults> EndContext;
+  virtual ::kj::Promise<void> end(EndContext context);
 
-  inline  ::bamboogap::wire::Node::Client thisCap() {
+  inline  ::bamboogap::wire::AnswerSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::bamboogap::wire::Node>();
+        .template castAs< ::bamboogap::wire::AnswerSink>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
@@ -3458,9 +3806,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ForwardParams::Reader {
+class AnswerSink::HeadParams::Reader {
 public:
-  typedef ForwardParams Reads;
+  typedef HeadParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3475,13 +3823,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::bamboogap::wire::ForwardRequest::Reader getRequest() const;
+  inline  ::uint16_t getStatus() const;
 
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::bamboogap::wire::AnswerSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3495,9 +3840,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ForwardParams::Builder {
+class AnswerSink::HeadParams::Builder {
 public:
-  typedef ForwardParams Builds;
+  typedef HeadParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3511,21 +3856,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::bamboogap::wire::ForwardRequest::Builder getRequest();
-  inline void setRequest( ::bamboogap::wire::ForwardRequest::Reader value);
-  inline  ::bamboogap::wire::ForwardRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::bamboogap::wire::ForwardRequest>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::ForwardRequest> disownRequest();
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::bamboogap::wire::AnswerSink::Client getSink();
-  inline void setSink( ::bamboogap::wire::AnswerSink::Client&& value);
-  inline void setSink( ::bamboogap::wire::AnswerSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::bamboogap::wire::AnswerSink>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::AnswerSink> disownSink();
-#endif  // !CAPNP_LITE
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3537,16 +3876,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::ForwardParams::Pipeline {
+class AnswerSink::HeadParams::Pipeline {
 public:
-  typedef ForwardParams Pipelines;
+  typedef HeadParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::ForwardRequest::Pipeline getRequest();
-  inline  ::bamboogap::wire::AnswerSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3555,9 +3892,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ForwardResults::Reader {
+class AnswerSink::HeadResults::Reader {
 public:
-  typedef ForwardResults Reads;
+  typedef HeadResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3572,9 +3909,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::bamboogap::wire::ForwardOutcome::Reader getOutcome() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3587,9 +3921,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ForwardResults::Builder {
+class AnswerSink::HeadResults::Builder {
 public:
-  typedef ForwardResults Builds;
+  typedef HeadResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3603,13 +3937,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::bamboogap::wire::ForwardOutcome::Builder getOutcome();
-  inline void setOutcome( ::bamboogap::wire::ForwardOutcome::Reader value);
-  inline  ::bamboogap::wire::ForwardOutcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::bamboogap::wire::ForwardOutcome>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::ForwardOutcome> disownOutcome();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3620,15 +3947,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::ForwardResults::Pipeline {
+class AnswerSink::HeadResults::Pipeline {
 public:
-  typedef ForwardResults Pipelines;
+  typedef HeadResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::ForwardOutcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3637,9 +3963,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ChatMovedParams::Reader {
+class AnswerSink::ChunkParams::Reader {
 public:
-  typedef ChatMovedParams Reads;
+  typedef ChunkParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3654,13 +3980,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getChat() const;
-
-  inline bool hasHome() const;
-  inline  ::capnp::Text::Reader getHome() const;
-
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3674,9 +3995,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ChatMovedParams::Builder {
+class AnswerSink::ChunkParams::Builder {
 public:
-  typedef ChatMovedParams Builds;
+  typedef ChunkParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3690,22 +4011,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getChat();
-  inline void setChat( ::uint64_t value);
-
-  inline bool hasHome();
-  inline  ::capnp::Text::Builder getHome();
-  inline void setHome( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHome(unsigned int size);
-  inline void adoptHome(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHome();
-
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3717,9 +4028,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::ChatMovedParams::Pipeline {
+class AnswerSink::ChunkParams::Pipeline {
 public:
-  typedef ChatMovedParams Pipelines;
+  typedef ChunkParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3733,9 +4044,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ChatMovedResults::Reader {
+class AnswerSink::EndParams::Reader {
 public:
-  typedef ChatMovedResults Reads;
+  typedef EndParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3762,9 +4073,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ChatMovedResults::Builder {
+class AnswerSink::EndParams::Builder {
 public:
-  typedef ChatMovedResults Builds;
+  typedef EndParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3788,9 +4099,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::ChatMovedResults::Pipeline {
+class AnswerSink::EndParams::Pipeline {
 public:
-  typedef ChatMovedResults Pipelines;
+  typedef EndParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3804,9 +4115,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::HeartbeatParams::Reader {
+class AnswerSink::EndResults::Reader {
 public:
-  typedef HeartbeatParams Reads;
+  typedef EndResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3821,9 +4132,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeartbeat() const;
-  inline  ::bamboogap::wire::Heartbeat::Reader getHeartbeat() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3836,9 +4144,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::HeartbeatParams::Builder {
+class AnswerSink::EndResults::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef EndResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3852,13 +4160,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeartbeat();
-  inline  ::bamboogap::wire::Heartbeat::Builder getHeartbeat();
-  inline void setHeartbeat( ::bamboogap::wire::Heartbeat::Reader value);
-  inline  ::bamboogap::wire::Heartbeat::Builder initHeartbeat();
-  inline void adoptHeartbeat(::capnp::Orphan< ::bamboogap::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::Heartbeat> disownHeartbeat();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3869,15 +4170,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::HeartbeatParams::Pipeline {
+class AnswerSink::EndResults::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef EndResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::Heartbeat::Pipeline getHeartbeat();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3886,9 +4186,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::HeartbeatResults::Reader {
+class LeaderHint::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef LeaderHint Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3903,13 +4203,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAnswered() const;
-
-  inline bool hasReply() const;
-  inline  ::bamboogap::wire::HeartbeatReply::Reader getReply() const;
+  inline bool getKnown() const;
 
-  inline bool hasLeader() const;
-  inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3923,9 +4220,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::HeartbeatResults::Builder {
+class LeaderHint::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef LeaderHint Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3939,22 +4236,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAnswered();
-  inline void setAnswered(bool value);
-
-  inline bool hasReply();
-  inline  ::bamboogap::wire::HeartbeatReply::Builder getReply();
-  inline void setReply( ::bamboogap::wire::HeartbeatReply::Reader value);
-  inline  ::bamboogap::wire::HeartbeatReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::bamboogap::wire::HeartbeatReply>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::HeartbeatReply> disownReply();
+  inline bool getKnown();
+  inline void setKnown(bool value);
 
-  inline bool hasLeader();
-  inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
-  inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
-  inline  ::bamboogap::wire::LeaderHint::Builder initLeader();
-  inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3966,16 +4256,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::HeartbeatResults::Pipeline {
+class LeaderHint::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef LeaderHint Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::HeartbeatReply::Pipeline getReply();
-  inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3984,29 +4272,159 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::CommandParams::Reader {
+#if !CAPNP_LITE
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef CommandParams Reads;
+  typedef Node Calls;
+  typedef Node Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  ::capnp::Request< ::bamboogap::wire::Node::ForwardParams,  ::bamboogap::wire::Node::ForwardResults> forwardRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::ChatMovedParams,  ::bamboogap::wire::Node::ChatMovedResults> chatMovedRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::HeartbeatParams,  ::bamboogap::wire::Node::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::CommandParams,  ::bamboogap::wire::Node::CommandResults> commandRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::RaftParams,  ::bamboogap::wire::Node::RaftResults> raftRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::JoinParams,  ::bamboogap::wire::Node::JoinResults> joinRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::IdentifyParams,  ::bamboogap::wire::Node::IdentifyResults> identifyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::StatusParams,  ::bamboogap::wire::Node::StatusResults> statusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::RemoveReplicaParams,  ::bamboogap::wire::Node::RemoveReplicaResults> removeReplicaRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::PokeParams,  ::bamboogap::wire::Node::PokeResults> pokeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::SyncParams,  ::bamboogap::wire::Node::SyncResults> syncRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::RoutesParams,  ::bamboogap::wire::Node::RoutesResults> routesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::NewestRoutesParams,  ::bamboogap::wire::Node::NewestRoutesResults> newestRoutesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+protected:
+  Client() = default;
+};
 
-  inline bool hasCommand() const;
-  inline  ::capnp::Data::Reader getCommand() const;
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Node Serves;
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::bamboogap::wire::Node::ForwardParams ForwardParams;
+  typedef  ::bamboogap::wire::Node::ForwardResults ForwardResults;
+  typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
+  virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::bamboogap::wire::Node::ChatMovedParams ChatMovedParams;
+  typedef  ::bamboogap::wire::Node::ChatMovedResults ChatMovedResults;
+  typedef ::capnp::CallContext<ChatMovedParams, ChatMovedResults> ChatMovedContext;
+  virtual ::kj::Promise<void> chatMoved(ChatMovedContext context);
+  typedef  ::bamboogap::wire::Node::HeartbeatParams HeartbeatParams;
+  typedef  ::bamboogap::wire::Node::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::bamboogap::wire::Node::CommandParams CommandParams;
+  typedef  ::bamboogap::wire::Node::CommandResults CommandResults;
+  typedef ::capnp::CallContext<CommandParams, CommandResults> CommandContext;
+  virtual ::kj::Promise<void> command(CommandContext context);
+  typedef  ::bamboogap::wire::Node::RaftParams RaftParams;
+  typedef  ::bamboogap::wire::Node::RaftResults RaftResults;
+  typedef ::capnp::CallContext<RaftParams, RaftResults> RaftContext;
+  virtual ::kj::Promise<void> raft(RaftContext context);
+  typedef  ::bamboogap::wire::Node::JoinParams JoinParams;
+  typedef  ::bamboogap::wire::Node::JoinResults JoinResults;
+  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
+  virtual ::kj::Promise<void> join(JoinContext context);
+  typedef  ::bamboogap::wire::Node::IdentifyParams IdentifyParams;
+  typedef  ::bamboogap::wire::Node::IdentifyResults IdentifyResults;
+  typedef ::capnp::CallContext<IdentifyParams, IdentifyResults> IdentifyContext;
+  virtual ::kj::Promise<void> identify(IdentifyContext context);
+  typedef  ::bamboogap::wire::Node::StatusParams StatusParams;
+  typedef  ::bamboogap::wire::Node::StatusResults StatusResults;
+  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
+  virtual ::kj::Promise<void> status(StatusContext context);
+  typedef  ::bamboogap::wire::Node::RemoveReplicaParams RemoveReplicaParams;
+  typedef  ::bamboogap::wire::Node::RemoveReplicaResults RemoveReplicaResults;
+  typedef ::capnp::CallContext<RemoveReplicaParams, RemoveReplicaResults> RemoveReplicaContext;
+  virtual ::kj::Promise<void> removeReplica(RemoveReplicaContext context);
+  typedef  ::bamboogap::wire::Node::PokeParams PokeParams;
+  typedef  ::bamboogap::wire::Node::PokeResults PokeResults;
+  typedef ::capnp::CallContext<PokeParams, PokeResults> PokeContext;
+  virtual ::kj::Promise<void> poke(PokeContext context);
+  typedef  ::bamboogap::wire::Node::SyncParams SyncParams;
+  typedef  ::bamboogap::wire::Node::SyncResults SyncResults;
+  typedef ::capnp::CallContext<SyncParams, SyncResults> SyncContext;
+  virtual ::kj::Promise<void> sync(SyncContext context);
+  typedef  ::bamboogap::wire::Node::RoutesParams RoutesParams;
+  typedef  ::bamboogap::wire::Node::RoutesResults RoutesResults;
+  typedef ::capnp::CallContext<RoutesParams, RoutesResults> RoutesContext;
+  virtual ::kj::Promise<void> routes(RoutesContext context);
+  typedef  ::bamboogap::wire::Node::NewestRoutesParams NewestRoutesParams;
+  typedef  ::bamboogap::wire::Node::NewestRoutesResults NewestRoutesResults;
+  typedef ::capnp::CallContext<NewestRoutesParams, NewestRoutesResults> NewestRoutesContext;
+  virtual ::kj::Promise<void> newestRoutes(NewestRoutesContext context);
+
+  inline  ::bamboogap::wire::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::bamboogap::wire::Node>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Node::ForwardParams::Reader {
+public:
+  typedef ForwardParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::bamboogap::wire::ForwardRequest::Reader getRequest() const;
+
+  inline bool hasSink() const;
+#if !CAPNP_LITE
+  inline  ::bamboogap::wire::AnswerSink::Client getSink() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
@@ -4016,9 +4434,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::CommandParams::Builder {
+class Node::ForwardParams::Builder {
 public:
-  typedef CommandParams Builds;
+  typedef ForwardParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4032,12 +4450,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCommand();
-  inline  ::capnp::Data::Builder getCommand();
-  inline void setCommand( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initCommand(unsigned int size);
-  inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownCommand();
+  inline bool hasRequest();
+  inline  ::bamboogap::wire::ForwardRequest::Builder getRequest();
+  inline void setRequest( ::bamboogap::wire::ForwardRequest::Reader value);
+  inline  ::bamboogap::wire::ForwardRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::bamboogap::wire::ForwardRequest>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::ForwardRequest> disownRequest();
+
+  inline bool hasSink();
+#if !CAPNP_LITE
+  inline  ::bamboogap::wire::AnswerSink::Client getSink();
+  inline void setSink( ::bamboogap::wire::AnswerSink::Client&& value);
+  inline void setSink( ::bamboogap::wire::AnswerSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::bamboogap::wire::AnswerSink>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::AnswerSink> disownSink();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4049,14 +4476,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::CommandParams::Pipeline {
+class Node::ForwardParams::Pipeline {
 public:
-  typedef CommandParams Pipelines;
+  typedef ForwardParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::ForwardRequest::Pipeline getRequest();
+  inline  ::bamboogap::wire::AnswerSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4065,9 +4494,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::CommandResults::Reader {
+class Node::ForwardResults::Reader {
 public:
-  typedef CommandResults Reads;
+  typedef ForwardResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4082,16 +4511,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAnswered() const;
-
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
-
-  inline bool hasLeader() const;
-  inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
-
-  inline bool hasProblem() const;
-  inline  ::bamboogap::wire::Problem::Reader getProblem() const;
+  inline bool hasOutcome() const;
+  inline  ::bamboogap::wire::ForwardOutcome::Reader getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4105,9 +4526,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::CommandResults::Builder {
+class Node::ForwardResults::Builder {
 public:
-  typedef CommandResults Builds;
+  typedef ForwardResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4121,29 +4542,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAnswered();
-  inline void setAnswered(bool value);
-
-  inline bool hasAnswer();
-  inline  ::capnp::Data::Builder getAnswer();
-  inline void setAnswer( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
-
-  inline bool hasLeader();
-  inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
-  inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
-  inline  ::bamboogap::wire::LeaderHint::Builder initLeader();
-  inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
-
-  inline bool hasProblem();
-  inline  ::bamboogap::wire::Problem::Builder getProblem();
-  inline void setProblem( ::bamboogap::wire::Problem::Reader value);
-  inline  ::bamboogap::wire::Problem::Builder initProblem();
-  inline void adoptProblem(::capnp::Orphan< ::bamboogap::wire::Problem>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::Problem> disownProblem();
+  inline bool hasOutcome();
+  inline  ::bamboogap::wire::ForwardOutcome::Builder getOutcome();
+  inline void setOutcome( ::bamboogap::wire::ForwardOutcome::Reader value);
+  inline  ::bamboogap::wire::ForwardOutcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::bamboogap::wire::ForwardOutcome>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::ForwardOutcome> disownOutcome();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4155,16 +4559,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::CommandResults::Pipeline {
+class Node::ForwardResults::Pipeline {
 public:
-  typedef CommandResults Pipelines;
+  typedef ForwardResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
-  inline  ::bamboogap::wire::Problem::Pipeline getProblem();
+  inline  ::bamboogap::wire::ForwardOutcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4173,9 +4576,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RaftParams::Reader {
+class Node::ChatMovedParams::Reader {
 public:
-  typedef RaftParams Reads;
+  typedef ChatMovedParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4190,11 +4593,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::bamboogap::wire::RaftMessage::Reader getMessage() const;
+  inline  ::uint64_t getChat() const;
 
-  inline bool hasFromAddress() const;
-  inline  ::capnp::Text::Reader getFromAddress() const;
+  inline bool hasHome() const;
+  inline  ::capnp::Text::Reader getHome() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4208,9 +4613,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RaftParams::Builder {
+class Node::ChatMovedParams::Builder {
 public:
-  typedef RaftParams Builds;
+  typedef ChatMovedParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4224,19 +4629,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::bamboogap::wire::RaftMessage::Builder getMessage();
-  inline void setMessage( ::bamboogap::wire::RaftMessage::Reader value);
-  inline  ::bamboogap::wire::RaftMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::bamboogap::wire::RaftMessage>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::RaftMessage> disownMessage();
+  inline  ::uint64_t getChat();
+  inline void setChat( ::uint64_t value);
 
-  inline bool hasFromAddress();
-  inline  ::capnp::Text::Builder getFromAddress();
-  inline void setFromAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFromAddress(unsigned int size);
-  inline void adoptFromAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFromAddress();
+  inline bool hasHome();
+  inline  ::capnp::Text::Builder getHome();
+  inline void setHome( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHome(unsigned int size);
+  inline void adoptHome(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHome();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4248,15 +4656,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::RaftParams::Pipeline {
+class Node::ChatMovedParams::Pipeline {
 public:
-  typedef RaftParams Pipelines;
+  typedef ChatMovedParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::RaftMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4265,9 +4672,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RaftResults::Reader {
+class Node::ChatMovedResults::Reader {
 public:
-  typedef RaftResults Reads;
+  typedef ChatMovedResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4294,9 +4701,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RaftResults::Builder {
+class Node::ChatMovedResults::Builder {
 public:
-  typedef RaftResults Builds;
+  typedef ChatMovedResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4320,9 +4727,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::RaftResults::Pipeline {
+class Node::ChatMovedResults::Pipeline {
 public:
-  typedef RaftResults Pipelines;
+  typedef ChatMovedResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4336,9 +4743,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::JoinParams::Reader {
+class Node::HeartbeatParams::Reader {
 public:
-  typedef JoinParams Reads;
+  typedef HeartbeatParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4353,13 +4760,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
-
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasHeartbeat() const;
+  inline  ::bamboogap::wire::Heartbeat::Reader getHeartbeat() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4373,9 +4775,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::JoinParams::Builder {
+class Node::HeartbeatParams::Builder {
 public:
-  typedef JoinParams Builds;
+  typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4389,22 +4791,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasHeartbeat();
+  inline  ::bamboogap::wire::Heartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::bamboogap::wire::Heartbeat::Reader value);
+  inline  ::bamboogap::wire::Heartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::bamboogap::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::Heartbeat> disownHeartbeat();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4416,14 +4808,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::JoinParams::Pipeline {
+class Node::HeartbeatParams::Pipeline {
 public:
-  typedef JoinParams Pipelines;
+  typedef HeartbeatParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::Heartbeat::Pipeline getHeartbeat();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4432,9 +4825,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::JoinResults::Reader {
+class Node::HeartbeatResults::Reader {
 public:
-  typedef JoinResults Reads;
+  typedef HeartbeatResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4451,6 +4844,9 @@
 
   inline bool getAnswered() const;
 
+  inline bool hasReply() const;
+  inline  ::bamboogap::wire::HeartbeatReply::Reader getReply() const;
+
   inline bool hasLeader() const;
   inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
 
@@ -4466,9 +4862,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::JoinResults::Builder {
+class Node::HeartbeatResults::Builder {
 public:
-  typedef JoinResults Builds;
+  typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4485,6 +4881,13 @@
   inline bool getAnswered();
   inline void setAnswered(bool value);
 
+  inline bool hasReply();
+  inline  ::bamboogap::wire::HeartbeatReply::Builder getReply();
+  inline void setReply( ::bamboogap::wire::HeartbeatReply::Reader value);
+  inline  ::bamboogap::wire::HeartbeatReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::bamboogap::wire::HeartbeatReply>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::HeartbeatReply> disownReply();
+
   inline bool hasLeader();
   inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
   inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
@@ -4502,14 +4905,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::JoinResults::Pipeline {
+class Node::HeartbeatResults::Pipeline {
 public:
-  typedef JoinResults Pipelines;
+  typedef HeartbeatResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::HeartbeatReply::Pipeline getReply();
   inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -4519,9 +4923,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::IdentifyParams::Reader {
+class Node::CommandParams::Reader {
 public:
-  typedef IdentifyParams Reads;
+  typedef CommandParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4536,6 +4940,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasCommand() const;
+  inline  ::capnp::Data::Reader getCommand() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4548,9 +4955,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::IdentifyParams::Builder {
+class Node::CommandParams::Builder {
 public:
-  typedef IdentifyParams Builds;
+  typedef CommandParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4564,6 +4971,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasCommand();
+  inline  ::capnp::Data::Builder getCommand();
+  inline void setCommand( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCommand(unsigned int size);
+  inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCommand();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4574,9 +4988,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::IdentifyParams::Pipeline {
+class Node::CommandParams::Pipeline {
 public:
-  typedef IdentifyParams Pipelines;
+  typedef CommandParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4590,9 +5004,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::IdentifyResults::Reader {
+class Node::CommandResults::Reader {
 public:
-  typedef IdentifyResults Reads;
+  typedef CommandResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4607,11 +5021,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getHasReplica() const;
+  inline bool getAnswered() const;
 
-  inline  ::uint64_t getId() const;
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
 
-  inline bool getInGroup() const;
+  inline bool hasLeader() const;
+  inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
+
+  inline bool hasProblem() const;
+  inline  ::bamboogap::wire::Problem::Reader getProblem() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4625,9 +5044,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::IdentifyResults::Builder {
+class Node::CommandResults::Builder {
 public:
-  typedef IdentifyResults Builds;
+  typedef CommandResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4641,14 +5060,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getHasReplica();
-  inline void setHasReplica(bool value);
+  inline bool getAnswered();
+  inline void setAnswered(bool value);
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
 
-  inline bool getInGroup();
-  inline void setInGroup(bool value);
+  inline bool hasLeader();
+  inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
+  inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
+  inline  ::bamboogap::wire::LeaderHint::Builder initLeader();
+  inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
+
+  inline bool hasProblem();
+  inline  ::bamboogap::wire::Problem::Builder getProblem();
+  inline void setProblem( ::bamboogap::wire::Problem::Reader value);
+  inline  ::bamboogap::wire::Problem::Builder initProblem();
+  inline void adoptProblem(::capnp::Orphan< ::bamboogap::wire::Problem>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::Problem> disownProblem();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4660,14 +5094,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::IdentifyResults::Pipeline {
+class Node::CommandResults::Pipeline {
 public:
-  typedef IdentifyResults Pipelines;
+  typedef CommandResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
+  inline  ::bamboogap::wire::Problem::Pipeline getProblem();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4676,9 +5112,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::StatusParams::Reader {
+class Node::RaftParams::Reader {
 public:
-  typedef StatusParams Reads;
+  typedef RaftParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4693,6 +5129,12 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasMessage() const;
+  inline  ::bamboogap::wire::RaftMessage::Reader getMessage() const;
+
+  inline bool hasFromAddress() const;
+  inline  ::capnp::Text::Reader getFromAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4705,9 +5147,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::StatusParams::Builder {
+class Node::RaftParams::Builder {
 public:
-  typedef StatusParams Builds;
+  typedef RaftParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4721,6 +5163,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasMessage();
+  inline  ::bamboogap::wire::RaftMessage::Builder getMessage();
+  inline void setMessage( ::bamboogap::wire::RaftMessage::Reader value);
+  inline  ::bamboogap::wire::RaftMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::bamboogap::wire::RaftMessage>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::RaftMessage> disownMessage();
+
+  inline bool hasFromAddress();
+  inline  ::capnp::Text::Builder getFromAddress();
+  inline void setFromAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFromAddress(unsigned int size);
+  inline void adoptFromAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFromAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4731,14 +5187,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::StatusParams::Pipeline {
+class Node::RaftParams::Pipeline {
 public:
-  typedef StatusParams Pipelines;
+  typedef RaftParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::RaftMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4747,9 +5204,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::StatusResults::Reader {
+class Node::RaftResults::Reader {
 public:
-  typedef StatusResults Reads;
+  typedef RaftResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4764,14 +5221,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAnswered() const;
-
-  inline bool hasStatus() const;
-  inline  ::capnp::Text::Reader getStatus() const;
-
-  inline bool hasLeader() const;
-  inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4784,9 +5233,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::StatusResults::Builder {
+class Node::RaftResults::Builder {
 public:
-  typedef StatusResults Builds;
+  typedef RaftResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4800,23 +5249,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAnswered();
-  inline void setAnswered(bool value);
-
-  inline bool hasStatus();
-  inline  ::capnp::Text::Builder getStatus();
-  inline void setStatus( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initStatus(unsigned int size);
-  inline void adoptStatus(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownStatus();
-
-  inline bool hasLeader();
-  inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
-  inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
-  inline  ::bamboogap::wire::LeaderHint::Builder initLeader();
-  inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4827,15 +5259,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::StatusResults::Pipeline {
+class Node::RaftResults::Pipeline {
 public:
-  typedef StatusResults Pipelines;
+  typedef RaftResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4844,9 +5275,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RemoveReplicaParams::Reader {
+class Node::JoinParams::Reader {
 public:
-  typedef RemoveReplicaParams Reads;
+  typedef JoinParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4861,9 +5292,14 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getId() const;
+
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4876,9 +5312,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RemoveReplicaParams::Builder {
+class Node::JoinParams::Builder {
 public:
-  typedef RemoveReplicaParams Builds;
+  typedef JoinParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4892,6 +5328,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
   inline bool hasName();
   inline  ::capnp::Text::Builder getName();
   inline void setName( ::capnp::Text::Reader value);
@@ -4899,6 +5338,13 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4909,9 +5355,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::RemoveReplicaParams::Pipeline {
+class Node::JoinParams::Pipeline {
 public:
-  typedef RemoveReplicaParams Pipelines;
+  typedef JoinParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4925,9 +5371,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RemoveReplicaResults::Reader {
+class Node::JoinResults::Reader {
 public:
-  typedef RemoveReplicaResults Reads;
+  typedef JoinResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4947,9 +5393,6 @@
   inline bool hasLeader() const;
   inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
 
-  inline bool hasProblem() const;
-  inline  ::bamboogap::wire::Problem::Reader getProblem() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4962,9 +5405,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RemoveReplicaResults::Builder {
+class Node::JoinResults::Builder {
 public:
-  typedef RemoveReplicaResults Builds;
+  typedef JoinResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4988,13 +5431,6 @@
   inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
   inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
 
-  inline bool hasProblem();
-  inline  ::bamboogap::wire::Problem::Builder getProblem();
-  inline void setProblem( ::bamboogap::wire::Problem::Reader value);
-  inline  ::bamboogap::wire::Problem::Builder initProblem();
-  inline void adoptProblem(::capnp::Orphan< ::bamboogap::wire::Problem>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::Problem> disownProblem();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5005,16 +5441,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::RemoveReplicaResults::Pipeline {
+class Node::JoinResults::Pipeline {
 public:
-  typedef RemoveReplicaResults Pipelines;
+  typedef JoinResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
-  inline  ::bamboogap::wire::Problem::Pipeline getProblem();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5023,9 +5458,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::PokeParams::Reader {
+class Node::IdentifyParams::Reader {
 public:
-  typedef PokeParams Reads;
+  typedef IdentifyParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5040,8 +5475,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSample() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5054,9 +5487,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::PokeParams::Builder {
+class Node::IdentifyParams::Builder {
 public:
-  typedef PokeParams Builds;
+  typedef IdentifyParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5070,9 +5503,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSample();
-  inline void setSample( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5083,9 +5513,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::PokeParams::Pipeline {
+class Node::IdentifyParams::Pipeline {
 public:
-  typedef PokeParams Pipelines;
+  typedef IdentifyParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5099,9 +5529,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::PokeResults::Reader {
+class Node::IdentifyResults::Reader {
 public:
-  typedef PokeResults Reads;
+  typedef IdentifyResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5116,6 +5546,12 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getHasReplica() const;
+
+  inline  ::uint64_t getId() const;
+
+  inline bool getInGroup() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5128,9 +5564,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::PokeResults::Builder {
+class Node::IdentifyResults::Builder {
 public:
-  typedef PokeResults Builds;
+  typedef IdentifyResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5144,6 +5580,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getHasReplica();
+  inline void setHasReplica(bool value);
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool getInGroup();
+  inline void setInGroup(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5154,9 +5599,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::PokeResults::Pipeline {
+class Node::IdentifyResults::Pipeline {
 public:
-  typedef PokeResults Pipelines;
+  typedef IdentifyResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5170,62 +5615,80 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Gate::Client
-    : public virtual ::capnp::Capability::Client {
+class Node::StatusParams::Reader {
 public:
-  typedef Gate Calls;
-  typedef Gate Reads;
+  typedef StatusParams Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::bamboogap::wire::Gate::EnterParams,  ::bamboogap::wire::Gate::EnterResults> enterRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Gate::Server
-    : public virtual ::capnp::Capability::Server {
+class Node::StatusParams::Builder {
 public:
-  typedef Gate Serves;
+  typedef StatusParams Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
-  typedef  ::bamboogap::wire::Gate::EnterParams EnterParams;
-  typedef  ::bamboogap::wire::Gate::EnterResults EnterResults;
-  typedef ::capnp::CallContext<EnterParams, EnterResults> EnterContext;
-  virtual ::kj::Promise<void> enter(EnterContext context);
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline  ::bamboogap::wire::Gate::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::bamboogap::wire::Gate>();
-  }
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+#if !CAPNP_LITE
+class Node::StatusParams::Pipeline {
+public:
+  typedef StatusParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class Gate::EnterParams::Reader {
+class Node::StatusResults::Reader {
 public:
-  typedef EnterParams Reads;
+  typedef StatusResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5240,8 +5703,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
+  inline bool getAnswered() const;
+
+  inline bool hasStatus() const;
+  inline  ::capnp::Text::Reader getStatus() const;
+
+  inline bool hasLeader() const;
+  inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5255,9 +5723,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::EnterParams::Builder {
+class Node::StatusResults::Builder {
 public:
-  typedef EnterParams Builds;
+  typedef StatusResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5271,12 +5739,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+  inline bool getAnswered();
+  inline void setAnswered(bool value);
+
+  inline bool hasStatus();
+  inline  ::capnp::Text::Builder getStatus();
+  inline void setStatus( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStatus(unsigned int size);
+  inline void adoptStatus(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStatus();
+
+  inline bool hasLeader();
+  inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
+  inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
+  inline  ::bamboogap::wire::LeaderHint::Builder initLeader();
+  inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5288,14 +5766,15 @@
 };
 
 #if !CAPNP_LITE
-class Gate::EnterParams::Pipeline {
+class Node::StatusResults::Pipeline {
 public:
-  typedef EnterParams Pipelines;
+  typedef StatusResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5304,9 +5783,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::EnterResults::Reader {
+class Node::RemoveReplicaParams::Reader {
 public:
-  typedef EnterResults Reads;
+  typedef RemoveReplicaParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5321,10 +5800,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode() const;
-#if !CAPNP_LITE
-  inline  ::bamboogap::wire::Node::Client getNode() const;
-#endif  // !CAPNP_LITE
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5338,9 +5815,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::EnterResults::Builder {
+class Node::RemoveReplicaParams::Builder {
 public:
-  typedef EnterResults Builds;
+  typedef RemoveReplicaParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5354,14 +5831,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode();
-#if !CAPNP_LITE
-  inline  ::bamboogap::wire::Node::Client getNode();
-  inline void setNode( ::bamboogap::wire::Node::Client&& value);
-  inline void setNode( ::bamboogap::wire::Node::Client& value);
-  inline void adoptNode(::capnp::Orphan< ::bamboogap::wire::Node>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::Node> disownNode();
-#endif  // !CAPNP_LITE
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5373,15 +5848,14 @@
 };
 
 #if !CAPNP_LITE
-class Gate::EnterResults::Pipeline {
+class Node::RemoveReplicaParams::Pipeline {
 public:
-  typedef EnterResults Pipelines;
+  typedef RemoveReplicaParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::Node::Client getNode();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
