@@ -5390,2427 +5864,4316 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Node::RemoveReplicaResults::Reader {
+public:
+  typedef RemoveReplicaResults Reads;
 
-inline  ::uint64_t Member::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Member::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool Member::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Member::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Member::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Member::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Member::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAnswered() const;
+
+  inline bool hasLeader() const;
+  inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
+
+  inline bool hasProblem() const;
+  inline  ::bamboogap::wire::Problem::Reader getProblem() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::RemoveReplicaResults::Builder {
+public:
+  typedef RemoveReplicaResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getAnswered();
+  inline void setAnswered(bool value);
+
+  inline bool hasLeader();
+  inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
+  inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
+  inline  ::bamboogap::wire::LeaderHint::Builder initLeader();
+  inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
+
+  inline bool hasProblem();
+  inline  ::bamboogap::wire::Problem::Builder getProblem();
+  inline void setProblem( ::bamboogap::wire::Problem::Reader value);
+  inline  ::bamboogap::wire::Problem::Builder initProblem();
+  inline void adoptProblem(::capnp::Orphan< ::bamboogap::wire::Problem>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::Problem> disownProblem();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::RemoveReplicaResults::Pipeline {
+public:
+  typedef RemoveReplicaResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
+  inline  ::bamboogap::wire::Problem::Pipeline getProblem();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::PokeParams::Reader {
+public:
+  typedef PokeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSample() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::PokeParams::Builder {
+public:
+  typedef PokeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSample();
+  inline void setSample( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::PokeParams::Pipeline {
+public:
+  typedef PokeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::PokeResults::Reader {
+public:
+  typedef PokeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::PokeResults::Builder {
+public:
+  typedef PokeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::PokeResults::Pipeline {
+public:
+  typedef PokeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::SyncParams::Reader {
+public:
+  typedef SyncParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::bamboogap::wire::SyncRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::SyncParams::Builder {
+public:
+  typedef SyncParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::bamboogap::wire::SyncRequest::Builder getRequest();
+  inline void setRequest( ::bamboogap::wire::SyncRequest::Reader value);
+  inline  ::bamboogap::wire::SyncRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::bamboogap::wire::SyncRequest>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::SyncRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::SyncParams::Pipeline {
+public:
+  typedef SyncParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bamboogap::wire::SyncRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::SyncResults::Reader {
+public:
+  typedef SyncResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::bamboogap::wire::SyncReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::SyncResults::Builder {
+public:
+  typedef SyncResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::bamboogap::wire::SyncReply::Builder getReply();
+  inline void setReply( ::bamboogap::wire::SyncReply::Reader value);
+  inline  ::bamboogap::wire::SyncReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::bamboogap::wire::SyncReply>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::SyncReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::SyncResults::Pipeline {
+public:
+  typedef SyncResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bamboogap::wire::SyncReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::RoutesParams::Reader {
+public:
+  typedef RoutesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::RoutesParams::Builder {
+public:
+  typedef RoutesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::RoutesParams::Pipeline {
+public:
+  typedef RoutesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::RoutesResults::Reader {
+public:
+  typedef RoutesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::RoutesResults::Builder {
+public:
+  typedef RoutesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::RoutesResults::Pipeline {
+public:
+  typedef RoutesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::NewestRoutesParams::Reader {
+public:
+  typedef NewestRoutesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::NewestRoutesParams::Builder {
+public:
+  typedef NewestRoutesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::NewestRoutesParams::Pipeline {
+public:
+  typedef NewestRoutesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::NewestRoutesResults::Reader {
+public:
+  typedef NewestRoutesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAnswered() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
+
+  inline bool hasLeader() const;
+  inline  ::bamboogap::wire::LeaderHint::Reader getLeader() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::NewestRoutesResults::Builder {
+public:
+  typedef NewestRoutesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getAnswered();
+  inline void setAnswered(bool value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+
+  inline bool hasLeader();
+  inline  ::bamboogap::wire::LeaderHint::Builder getLeader();
+  inline void setLeader( ::bamboogap::wire::LeaderHint::Reader value);
+  inline  ::bamboogap::wire::LeaderHint::Builder initLeader();
+  inline void adoptLeader(::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> disownLeader();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::NewestRoutesResults::Pipeline {
+public:
+  typedef NewestRoutesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bamboogap::wire::LeaderHint::Pipeline getLeader();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Gate::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Gate Calls;
+  typedef Gate Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::bamboogap::wire::Gate::EnterParams,  ::bamboogap::wire::Gate::EnterResults> enterRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Gate::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Gate Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::bamboogap::wire::Gate::EnterParams EnterParams;
+  typedef  ::bamboogap::wire::Gate::EnterResults EnterResults;
+  typedef ::capnp::CallContext<EnterParams, EnterResults> EnterContext;
+  virtual ::kj::Promise<void> enter(EnterContext context);
+
+  inline  ::bamboogap::wire::Gate::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::bamboogap::wire::Gate>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Gate::EnterParams::Reader {
+public:
+  typedef EnterParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Gate::EnterParams::Builder {
+public:
+  typedef EnterParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Gate::EnterParams::Pipeline {
+public:
+  typedef EnterParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Gate::EnterResults::Reader {
+public:
+  typedef EnterResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+#if !CAPNP_LITE
+  inline  ::bamboogap::wire::Node::Client getNode() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Gate::EnterResults::Builder {
+public:
+  typedef EnterResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+#if !CAPNP_LITE
+  inline  ::bamboogap::wire::Node::Client getNode();
+  inline void setNode( ::bamboogap::wire::Node::Client&& value);
+  inline void setNode( ::bamboogap::wire::Node::Client& value);
+  inline void adoptNode(::capnp::Orphan< ::bamboogap::wire::Node>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::Node> disownNode();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Gate::EnterResults::Pipeline {
+public:
+  typedef EnterResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bamboogap::wire::Node::Client getNode();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t Member::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::getVoter() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getVoter() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setVoter(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LogEntry::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LogEntry::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LogEntry::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t LogEntry::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LogEntry::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void LogEntry::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LogEntry::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LogEntry::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader LogEntry::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LogEntry::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder LogEntry::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LogEntry::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Snapshot::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Snapshot::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Snapshot::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Snapshot::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Snapshot::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Snapshot::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Snapshot::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Snapshot::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Reader Snapshot::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Builder Snapshot::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Snapshot::Builder::setMembers( ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Builder Snapshot::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Snapshot::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>> Snapshot::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Snapshot::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Snapshot::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Snapshot::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Snapshot::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Snapshot::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Snapshot::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Snapshot::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Snapshot::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t RaftMessage::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RaftMessage::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getLogTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getLogTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setLogTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getCommit() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getCommit() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setCommit( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RaftMessage::Reader::getReject() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool RaftMessage::Builder::getReject() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setReject(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RaftMessage::Reader::getTransfer() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool RaftMessage::Builder::getTransfer() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setTransfer(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RaftMessage::Reader::getRound() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RaftMessage::Builder::getRound() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void RaftMessage::Builder::setRound( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RaftMessage::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RaftMessage::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader RaftMessage::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RaftMessage::Builder::setEntries( ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RaftMessage::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>> RaftMessage::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RaftMessage::Reader::hasSnapshot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RaftMessage::Builder::hasSnapshot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::Snapshot::Reader RaftMessage::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::Snapshot::Builder RaftMessage::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::Snapshot::Pipeline RaftMessage::Pipeline::getSnapshot() {
+  return  ::bamboogap::wire::Snapshot::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void RaftMessage::Builder::setSnapshot( ::bamboogap::wire::Snapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::Snapshot::Builder RaftMessage::Builder::initSnapshot() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RaftMessage::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::bamboogap::wire::Snapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::Snapshot> RaftMessage::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RouterInfo::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouterInfo::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouterInfo::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouterInfo::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RouterInfo::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouterInfo::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RouterInfo::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouterInfo::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RouterInfo::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RouterInfo::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RouterInfo::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RouterInfo::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouterInfo::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouterInfo::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouterInfo::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RouterInfo::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouterInfo::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RouterInfo::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouterInfo::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RouterInfo::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouterInfo::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouterInfo::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouterInfo::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RouterInfo::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouterInfo::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RouterInfo::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouterInfo::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HeardEndpoint::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeardEndpoint::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeardEndpoint::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HeardEndpoint::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeardEndpoint::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HeardEndpoint::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HeardEndpoint::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HeardEndpoint::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HeardEndpoint::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeardEndpoint::Reader::hasAnnouncement() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeardEndpoint::Builder::hasAnnouncement() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader HeardEndpoint::Reader::getAnnouncement() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder HeardEndpoint::Builder::getAnnouncement() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeardEndpoint::Builder::setAnnouncement( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder HeardEndpoint::Builder::initAnnouncement(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeardEndpoint::Builder::adoptAnnouncement(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> HeardEndpoint::Builder::disownAnnouncement() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t OwnLoad::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OwnLoad::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OwnLoad::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t OwnLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t OwnLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void OwnLoad::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t OwnLoad::Reader::getRampLimit() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t OwnLoad::Builder::getRampLimit() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void OwnLoad::Builder::setRampLimit( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PoolLoad::Reader::getPool() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PoolLoad::Builder::getPool() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PoolLoad::Builder::setPool( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PoolLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
 
-inline bool Member::Reader::hasAddress() const {
+inline  ::uint32_t PoolLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PoolLoad::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasRouter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasRouter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::RouterInfo::Reader Heartbeat::Reader::getRouter() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::RouterInfo::Builder Heartbeat::Builder::getRouter() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::RouterInfo::Pipeline Heartbeat::Pipeline::getRouter() {
+  return  ::bamboogap::wire::RouterInfo::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setRouter( ::bamboogap::wire::RouterInfo::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::RouterInfo::Builder Heartbeat::Builder::initRouter() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::adoptRouter(
+    ::capnp::Orphan< ::bamboogap::wire::RouterInfo>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::RouterInfo> Heartbeat::Builder::disownRouter() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getKnownEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getKnownEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setKnownEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getKnownRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getKnownRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setKnownRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getKnownSuspects() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getKnownSuspects() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setKnownSuspects( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getLeaderTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getLeaderTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setLeaderTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getRegisterTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getRegisterTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setRegisterTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getRegisterVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getRegisterVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setRegisterVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasHeard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasAddress() {
+inline bool Heartbeat::Builder::hasHeard() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getHeard() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getHeard() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setHeard( ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initHeard(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptHeard(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownHeard() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setLoads( ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasPools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasPools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptPools(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getSample() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Heartbeat::Builder::getSample() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Heartbeat::Builder::setSample( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::getVoter() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Heartbeat::Reader::getKnownLimits() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline bool Member::Builder::getVoter() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Heartbeat::Builder::getKnownLimits() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setVoter(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void Heartbeat::Builder::setKnownLimits( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LogEntry::Reader::getIndex() const {
+inline  ::uint64_t View::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LogEntry::Builder::getIndex() {
+inline  ::uint64_t View::Builder::getEpoch() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LogEntry::Builder::setIndex( ::uint64_t value) {
+inline void View::Builder::setEpoch( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LogEntry::Reader::getTerm() const {
+inline bool View::Reader::hasRouters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool View::Builder::hasRouters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Reader View::Reader::getRouters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Builder View::Builder::getRouters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void View::Builder::setRouters( ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Builder View::Builder::initRouters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void View::Builder::adoptRouters(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>> View::Builder::disownRouters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SuspectChange::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LogEntry::Builder::getTerm() {
+inline  ::uint64_t SuspectChange::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LogEntry::Builder::setTerm( ::uint64_t value) {
+inline void SuspectChange::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t LogEntry::Reader::getKind() const {
+inline  ::uint8_t SuspectChange::Reader::getStanding() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t LogEntry::Builder::getKind() {
+inline  ::uint8_t SuspectChange::Builder::getStanding() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void LogEntry::Builder::setKind( ::uint8_t value) {
+inline void SuspectChange::Builder::setStanding( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LogEntry::Reader::hasData() const {
+inline  ::uint16_t RegisterEntry::Reader::getSlot() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RegisterEntry::Builder::getSlot() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RegisterEntry::Builder::setSlot( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RegisterEntry::Reader::hasAnnouncement() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LogEntry::Builder::hasData() {
+inline bool RegisterEntry::Builder::hasAnnouncement() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader LogEntry::Reader::getData() const {
+inline  ::capnp::Data::Reader RegisterEntry::Reader::getAnnouncement() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder LogEntry::Builder::getData() {
+inline  ::capnp::Data::Builder RegisterEntry::Builder::getAnnouncement() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LogEntry::Builder::setData( ::capnp::Data::Reader value) {
+inline void RegisterEntry::Builder::setAnnouncement( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder LogEntry::Builder::initData(unsigned int size) {
+inline  ::capnp::Data::Builder RegisterEntry::Builder::initAnnouncement(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LogEntry::Builder::adoptData(
+inline void RegisterEntry::Builder::adoptAnnouncement(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> LogEntry::Builder::disownData() {
+inline ::capnp::Orphan< ::capnp::Data> RegisterEntry::Builder::disownAnnouncement() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Snapshot::Reader::getIndex() const {
+inline  ::uint64_t HeartbeatReply::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Snapshot::Builder::getIndex() {
+inline  ::uint64_t HeartbeatReply::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Snapshot::Builder::setIndex( ::uint64_t value) {
+inline void HeartbeatReply::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Snapshot::Reader::getTerm() const {
+inline  ::uint64_t HeartbeatReply::Reader::getTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Snapshot::Builder::getTerm() {
+inline  ::uint64_t HeartbeatReply::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Snapshot::Builder::setTerm( ::uint64_t value) {
+inline void HeartbeatReply::Builder::setTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Snapshot::Reader::hasMembers() const {
+inline bool HeartbeatReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool HeartbeatReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void HeartbeatReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HeartbeatReply::Reader::getLeaseMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HeartbeatReply::Builder::getLeaseMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void HeartbeatReply::Builder::setLeaseMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeartbeatReply::Reader::hasView() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Snapshot::Builder::hasMembers() {
+inline bool HeartbeatReply::Builder::hasView() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Reader Snapshot::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::bamboogap::wire::View::Reader HeartbeatReply::Reader::getView() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Builder Snapshot::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::bamboogap::wire::View::Builder HeartbeatReply::Builder::getView() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Snapshot::Builder::setMembers( ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::View::Pipeline HeartbeatReply::Pipeline::getView() {
+  return  ::bamboogap::wire::View::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void HeartbeatReply::Builder::setView( ::bamboogap::wire::View::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>::Builder Snapshot::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::bamboogap::wire::View::Builder HeartbeatReply::Builder::initView() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Snapshot::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HeartbeatReply::Builder::adoptView(
+    ::capnp::Orphan< ::bamboogap::wire::View>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>> Snapshot::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::bamboogap::wire::View> HeartbeatReply::Builder::disownView() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Snapshot::Reader::hasData() const {
+inline  ::uint64_t HeartbeatReply::Reader::getActiveEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeartbeatReply::Builder::getActiveEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeartbeatReply::Builder::setActiveEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeartbeatReply::Reader::hasLists() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Snapshot::Builder::hasData() {
+inline bool HeartbeatReply::Builder::hasLists() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Snapshot::Reader::getData() const {
+inline  ::capnp::Data::Reader HeartbeatReply::Reader::getLists() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Snapshot::Builder::getData() {
+inline  ::capnp::Data::Builder HeartbeatReply::Builder::getLists() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Snapshot::Builder::setData( ::capnp::Data::Reader value) {
+inline void HeartbeatReply::Builder::setLists( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Snapshot::Builder::initData(unsigned int size) {
+inline  ::capnp::Data::Builder HeartbeatReply::Builder::initLists(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Snapshot::Builder::adoptData(
+inline void HeartbeatReply::Builder::adoptLists(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Snapshot::Builder::disownData() {
+inline ::capnp::Orphan< ::capnp::Data> HeartbeatReply::Builder::disownLists() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint8_t RaftMessage::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t RaftMessage::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RaftMessage::Reader::getFrom() const {
+inline  ::uint64_t HeartbeatReply::Reader::getSuspectsVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RaftMessage::Builder::getFrom() {
+inline  ::uint64_t HeartbeatReply::Builder::getSuspectsVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setFrom( ::uint64_t value) {
+inline void HeartbeatReply::Builder::setSuspectsVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RaftMessage::Reader::getTo() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool HeartbeatReply::Reader::getHasSuspects() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RaftMessage::Builder::getTo() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool HeartbeatReply::Builder::getHasSuspects() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setTo( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void HeartbeatReply::Builder::setHasSuspects(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RaftMessage::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool HeartbeatReply::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RaftMessage::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool HeartbeatReply::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void RaftMessage::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader HeartbeatReply::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HeartbeatReply::Builder::setSuspects( ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void HeartbeatReply::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>> HeartbeatReply::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RaftMessage::Reader::getIndex() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool HeartbeatReply::Reader::getRegisterReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RaftMessage::Builder::getIndex() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool HeartbeatReply::Builder::getRegisterReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setIndex( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void HeartbeatReply::Builder::setRegisterReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RaftMessage::Reader::getLogTerm() const {
+inline  ::uint64_t HeartbeatReply::Reader::getRegisterTerm() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RaftMessage::Builder::getLogTerm() {
+inline  ::uint64_t HeartbeatReply::Builder::getRegisterTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setLogTerm( ::uint64_t value) {
+inline void HeartbeatReply::Builder::setRegisterTerm( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RaftMessage::Reader::getCommit() const {
+inline  ::uint64_t HeartbeatReply::Reader::getRegisterVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RaftMessage::Builder::getCommit() {
+inline  ::uint64_t HeartbeatReply::Builder::getRegisterVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setCommit( ::uint64_t value) {
+inline void HeartbeatReply::Builder::setRegisterVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RaftMessage::Reader::getReject() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline bool RaftMessage::Builder::getReject() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setReject(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool RaftMessage::Reader::getTransfer() const {
+inline bool HeartbeatReply::Reader::getRegisterFull() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
 }
 
-inline bool RaftMessage::Builder::getTransfer() {
+inline bool HeartbeatReply::Builder::getRegisterFull() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
 }
-inline void RaftMessage::Builder::setTransfer(bool value) {
+inline void HeartbeatReply::Builder::setRegisterFull(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t RaftMessage::Reader::getRound() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t RaftMessage::Builder::getRound() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void RaftMessage::Builder::setRound( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RaftMessage::Reader::hasEntries() const {
+inline bool HeartbeatReply::Reader::hasChanged() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RaftMessage::Builder::hasEntries() {
+inline bool HeartbeatReply::Builder::hasChanged() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader RaftMessage::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Reader HeartbeatReply::Reader::getChanged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::getChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void RaftMessage::Builder::setEntries( ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void HeartbeatReply::Builder::setChanged( ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>::Builder RaftMessage::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::initChanged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void RaftMessage::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void HeartbeatReply::Builder::adoptChanged(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>> RaftMessage::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LogEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>> HeartbeatReply::Builder::disownChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool RaftMessage::Reader::hasSnapshot() const {
+inline bool HeartbeatReply::Reader::hasRemoved() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool RaftMessage::Builder::hasSnapshot() {
+inline bool HeartbeatReply::Builder::hasRemoved() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::bamboogap::wire::Snapshot::Reader RaftMessage::Reader::getSnapshot() const {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader HeartbeatReply::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::bamboogap::wire::Snapshot::Builder RaftMessage::Builder::getSnapshot() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::bamboogap::wire::Snapshot::Pipeline RaftMessage::Pipeline::getSnapshot() {
-  return  ::bamboogap::wire::Snapshot::Pipeline(_typeless.getPointerField(1));
+inline void HeartbeatReply::Builder::setRemoved( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void RaftMessage::Builder::setSnapshot( ::bamboogap::wire::Snapshot::Reader value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void HeartbeatReply::Builder::setRemoved(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::bamboogap::wire::Snapshot::Builder RaftMessage::Builder::initSnapshot() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void RaftMessage::Builder::adoptSnapshot(
-    ::capnp::Orphan< ::bamboogap::wire::Snapshot>&& value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void HeartbeatReply::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::bamboogap::wire::Snapshot> RaftMessage::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Snapshot>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> HeartbeatReply::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool RouterInfo::Reader::hasName() const {
+inline bool HeartbeatReply::Reader::hasRunning() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RouterInfo::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RouterInfo::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RouterInfo::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void RouterInfo::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline bool HeartbeatReply::Builder::hasRunning() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder RouterInfo::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader HeartbeatReply::Reader::getRunning() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void RouterInfo::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::getRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> RouterInfo::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void HeartbeatReply::Builder::setRunning( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t RouterInfo::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void HeartbeatReply::Builder::setRunning(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t RouterInfo::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::initRunning(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void RouterInfo::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void HeartbeatReply::Builder::adoptRunning(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> HeartbeatReply::Builder::disownRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool RouterInfo::Reader::hasDataCentre() const {
+inline bool HeartbeatReply::Reader::hasRampLimits() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouterInfo::Builder::hasDataCentre() {
+inline bool HeartbeatReply::Builder::hasRampLimits() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RouterInfo::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader HeartbeatReply::Reader::getRampLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RouterInfo::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::getRampLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void RouterInfo::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void HeartbeatReply::Builder::setRampLimits( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RouterInfo::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void HeartbeatReply::Builder::setRampLimits(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline void RouterInfo::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::initRampLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> RouterInfo::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void HeartbeatReply::Builder::adoptRampLimits(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> HeartbeatReply::Builder::disownRampLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool RouterInfo::Reader::hasAddress() const {
+inline bool HeartbeatReply::Reader::hasPools() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouterInfo::Builder::hasAddress() {
+inline bool HeartbeatReply::Builder::hasPools() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RouterInfo::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RouterInfo::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void RouterInfo::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder RouterInfo::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader HeartbeatReply::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void RouterInfo::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> RouterInfo::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void HeartbeatReply::Builder::setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t HeardEndpoint::Reader::getKey() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t HeardEndpoint::Builder::getKey() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void HeartbeatReply::Builder::adoptPools(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void HeardEndpoint::Builder::setKey( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> HeartbeatReply::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HeardEndpoint::Reader::getDigest() const {
+inline  ::uint64_t HeartbeatReply::Reader::getLimitsVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HeardEndpoint::Builder::getDigest() {
+inline  ::uint64_t HeartbeatReply::Builder::getLimitsVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void HeardEndpoint::Builder::setDigest( ::uint64_t value) {
+inline void HeartbeatReply::Builder::setLimitsVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t HeardEndpoint::Reader::getAgeMillis() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t HeardEndpoint::Builder::getAgeMillis() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void HeardEndpoint::Builder::setAgeMillis( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeardEndpoint::Reader::hasAnnouncement() const {
+inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeardEndpoint::Builder::hasAnnouncement() {
+inline bool Header::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader HeardEndpoint::Reader::getAnnouncement() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder HeardEndpoint::Builder::getAnnouncement() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HeardEndpoint::Builder::setAnnouncement( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder HeardEndpoint::Builder::initAnnouncement(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HeardEndpoint::Builder::adoptAnnouncement(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> HeardEndpoint::Builder::disownAnnouncement() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t OwnLoad::Reader::getKey() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t OwnLoad::Builder::getKey() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void OwnLoad::Builder::setKey( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t OwnLoad::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t OwnLoad::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void OwnLoad::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t OwnLoad::Reader::getRampLimit() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t OwnLoad::Builder::getRampLimit() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void OwnLoad::Builder::setRampLimit( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PoolLoad::Reader::getPool() const {
+inline  ::uint64_t ForwardRequest::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PoolLoad::Builder::getPool() {
+inline  ::uint64_t ForwardRequest::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PoolLoad::Builder::setPool( ::uint64_t value) {
+inline void ForwardRequest::Builder::setId( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PoolLoad::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::bamboogap::wire::ForwardKind ForwardRequest::Reader::getKind() const {
+  return _reader.getDataField< ::bamboogap::wire::ForwardKind>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PoolLoad::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::bamboogap::wire::ForwardKind ForwardRequest::Builder::getKind() {
+  return _builder.getDataField< ::bamboogap::wire::ForwardKind>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PoolLoad::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ForwardRequest::Builder::setKind( ::bamboogap::wire::ForwardKind value) {
+  _builder.setDataField< ::bamboogap::wire::ForwardKind>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasRouter() const {
+inline bool ForwardRequest::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasRouter() {
+inline bool ForwardRequest::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::bamboogap::wire::RouterInfo::Reader Heartbeat::Reader::getRouter() const {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::bamboogap::wire::RouterInfo::Builder Heartbeat::Builder::getRouter() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::bamboogap::wire::RouterInfo::Pipeline Heartbeat::Pipeline::getRouter() {
-  return  ::bamboogap::wire::RouterInfo::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setRouter( ::bamboogap::wire::RouterInfo::Reader value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::set(_builder.getPointerField(
+inline void ForwardRequest::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::bamboogap::wire::RouterInfo::Builder Heartbeat::Builder::initRouter() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptRouter(
-    ::capnp::Orphan< ::bamboogap::wire::RouterInfo>&& value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::adopt(_builder.getPointerField(
+inline void ForwardRequest::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::bamboogap::wire::RouterInfo> Heartbeat::Builder::disownRouter() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::RouterInfo>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Reader::getIsHome() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Builder::getIsHome() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ForwardRequest::Builder::setIsHome(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getKnownEpoch() const {
+inline  ::uint64_t ForwardRequest::Reader::getChat() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getKnownEpoch() {
+inline  ::uint64_t ForwardRequest::Builder::getChat() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setKnownEpoch( ::uint64_t value) {
+inline void ForwardRequest::Builder::setChat( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getKnownRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Heartbeat::Builder::getKnownRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setKnownRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getKnownSuspects() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t ForwardRequest::Reader::getShare() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getKnownSuspects() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t ForwardRequest::Builder::getShare() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setKnownSuspects( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ForwardRequest::Builder::setShare( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getLeaderTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint8_t ForwardRequest::Reader::getPriority() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getLeaderTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint8_t ForwardRequest::Builder::getPriority() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setLeaderTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void ForwardRequest::Builder::setPriority( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getRegisterTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::int64_t ForwardRequest::Reader::getStartWithinMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getRegisterTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::int64_t ForwardRequest::Builder::getStartWithinMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setRegisterTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void ForwardRequest::Builder::setStartWithinMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getRegisterVersion() const {
+inline  ::uint64_t ForwardRequest::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getRegisterVersion() {
+inline  ::uint64_t ForwardRequest::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setRegisterVersion( ::uint64_t value) {
+inline void ForwardRequest::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::getLeaving() const {
+inline bool ForwardRequest::Reader::getMayWait() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
 
-inline bool Heartbeat::Builder::getLeaving() {
+inline bool ForwardRequest::Builder::getMayWait() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setLeaving(bool value) {
+inline void ForwardRequest::Builder::setMayWait(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<448>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Heartbeat::Reader::hasHeard() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Heartbeat::Builder::hasHeard() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getHeard() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getHeard() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setHeard( ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initHeard(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Heartbeat::Builder::adoptHeard(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownHeard() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::HeardEndpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Heartbeat::Reader::hasLoads() const {
+inline bool ForwardRequest::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasLoads() {
+inline bool ForwardRequest::Builder::hasModel() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setLoads( ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ForwardRequest::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ForwardRequest::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::OwnLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasPools() const {
+inline bool ForwardRequest::Reader::hasAdapter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasPools() {
+inline bool ForwardRequest::Builder::hasAdapter() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getPools() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getAdapter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getPools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void ForwardRequest::Builder::setAdapter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initPools(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initAdapter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptPools(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void ForwardRequest::Builder::adoptAdapter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownPools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getSample() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Heartbeat::Builder::getSample() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setSample( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Heartbeat::Reader::getKnownLimits() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Heartbeat::Builder::getKnownLimits() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline void ForwardRequest::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void Heartbeat::Builder::setKnownLimits( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t View::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void ForwardRequest::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t View::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void View::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool ForwardRequest::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool View::Reader::hasRouters() const {
+inline bool ForwardRequest::Reader::hasMethod() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool View::Builder::hasRouters() {
+inline bool ForwardRequest::Builder::hasMethod() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Reader View::Reader::getRouters() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Builder View::Builder::getRouters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void View::Builder::setRouters( ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>::Builder View::Builder::initRouters(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void View::Builder::adoptRouters(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardRequest::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>> View::Builder::disownRouters() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RouterInfo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SuspectChange::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Reader::hasPath() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t SuspectChange::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Builder::hasPath() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline void SuspectChange::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ForwardRequest::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t SuspectChange::Reader::getStanding() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ForwardRequest::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardRequest::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void ForwardRequest::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t SuspectChange::Builder::getStanding() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ForwardRequest::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardRequest::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardRequest::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void SuspectChange::Builder::setStanding( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void ForwardRequest::Builder::setHeaders( ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t RegisterEntry::Reader::getSlot() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint16_t RegisterEntry::Builder::getSlot() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void ForwardRequest::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RegisterEntry::Builder::setSlot( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>> ForwardRequest::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool RegisterEntry::Reader::hasAnnouncement() const {
+inline bool ForwardRequest::Reader::hasBody() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline bool RegisterEntry::Builder::hasAnnouncement() {
+inline bool ForwardRequest::Builder::hasBody() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader RegisterEntry::Reader::getAnnouncement() const {
+inline  ::capnp::Data::Reader ForwardRequest::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder RegisterEntry::Builder::getAnnouncement() {
+inline  ::capnp::Data::Builder ForwardRequest::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void RegisterEntry::Builder::setAnnouncement( ::capnp::Data::Reader value) {
+inline void ForwardRequest::Builder::setBody( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder RegisterEntry::Builder::initAnnouncement(unsigned int size) {
+inline  ::capnp::Data::Builder ForwardRequest::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-inline void RegisterEntry::Builder::adoptAnnouncement(
+inline void ForwardRequest::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> RegisterEntry::Builder::disownAnnouncement() {
+inline ::capnp::Orphan< ::capnp::Data> ForwardRequest::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t HeartbeatReply::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HeartbeatReply::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HeartbeatReply::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t HeartbeatReply::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HeartbeatReply::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void HeartbeatReply::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
-inline bool HeartbeatReply::Reader::getGranted() const {
+inline bool ForwardRequest::Reader::getStream() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
 }
 
-inline bool HeartbeatReply::Builder::getGranted() {
+inline bool ForwardRequest::Builder::getStream() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
 }
-inline void HeartbeatReply::Builder::setGranted(bool value) {
+inline void ForwardRequest::Builder::setStream(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t HeartbeatReply::Reader::getLeaseMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t HeartbeatReply::Builder::getLeaseMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void HeartbeatReply::Builder::setLeaseMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeartbeatReply::Reader::hasView() const {
+inline bool Problem::Reader::hasKind() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeartbeatReply::Builder::hasView() {
+inline bool Problem::Builder::hasKind() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::bamboogap::wire::View::Reader HeartbeatReply::Reader::getView() const {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Problem::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::bamboogap::wire::View::Builder HeartbeatReply::Builder::getView() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Problem::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::bamboogap::wire::View::Pipeline HeartbeatReply::Pipeline::getView() {
-  return  ::bamboogap::wire::View::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void HeartbeatReply::Builder::setView( ::bamboogap::wire::View::Reader value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::set(_builder.getPointerField(
+inline void Problem::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::bamboogap::wire::View::Builder HeartbeatReply::Builder::initView() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Problem::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HeartbeatReply::Builder::adoptView(
-    ::capnp::Orphan< ::bamboogap::wire::View>&& value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::adopt(_builder.getPointerField(
+inline void Problem::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::bamboogap::wire::View> HeartbeatReply::Builder::disownView() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::View>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Problem::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HeartbeatReply::Reader::getActiveEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HeartbeatReply::Builder::getActiveEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void HeartbeatReply::Builder::setActiveEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HeartbeatReply::Reader::hasLists() const {
+inline bool Problem::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeartbeatReply::Builder::hasLists() {
+inline bool Problem::Builder::hasMessage() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader HeartbeatReply::Reader::getLists() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Problem::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder HeartbeatReply::Builder::getLists() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Problem::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HeartbeatReply::Builder::setLists( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void Problem::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder HeartbeatReply::Builder::initLists(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Problem::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HeartbeatReply::Builder::adoptLists(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Problem::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> HeartbeatReply::Builder::disownLists() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t HeartbeatReply::Reader::getSuspectsVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HeartbeatReply::Builder::getSuspectsVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void HeartbeatReply::Builder::setSuspectsVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HeartbeatReply::Reader::getHasSuspects() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-
-inline bool HeartbeatReply::Builder::getHasSuspects() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-inline void HeartbeatReply::Builder::setHasSuspects(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HeartbeatReply::Reader::hasSuspects() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool HeartbeatReply::Builder::hasSuspects() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader HeartbeatReply::Reader::getSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::getSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void HeartbeatReply::Builder::setSuspects( ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::initSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void HeartbeatReply::Builder::adoptSuspects(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>> HeartbeatReply::Builder::disownSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool HeartbeatReply::Reader::getRegisterReady() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::Text> Problem::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HeartbeatReply::Builder::getRegisterReady() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline bool Problem::Reader::hasRemedy() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void HeartbeatReply::Builder::setRegisterReady(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+inline bool Problem::Builder::hasRemedy() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t HeartbeatReply::Reader::getRegisterTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Problem::Reader::getRemedy() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t HeartbeatReply::Builder::getRegisterTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Problem::Builder::getRemedy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HeartbeatReply::Builder::setRegisterTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void Problem::Builder::setRemedy( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t HeartbeatReply::Reader::getRegisterVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Problem::Builder::initRemedy(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t HeartbeatReply::Builder::getRegisterVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline void Problem::Builder::adoptRemedy(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void HeartbeatReply::Builder::setRegisterVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Problem::Builder::disownRemedy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool HeartbeatReply::Reader::getRegisterFull() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::bamboogap::wire::ForwardResult ForwardOutcome::Reader::getResult() const {
+  return _reader.getDataField< ::bamboogap::wire::ForwardResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool HeartbeatReply::Builder::getRegisterFull() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::bamboogap::wire::ForwardResult ForwardOutcome::Builder::getResult() {
+  return _builder.getDataField< ::bamboogap::wire::ForwardResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HeartbeatReply::Builder::setRegisterFull(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+inline void ForwardOutcome::Builder::setResult( ::bamboogap::wire::ForwardResult value) {
+  _builder.setDataField< ::bamboogap::wire::ForwardResult>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeartbeatReply::Reader::hasChanged() const {
+inline bool ForwardOutcome::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeartbeatReply::Builder::hasChanged() {
+inline bool ForwardOutcome::Builder::hasEndpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Reader HeartbeatReply::Reader::getChanged() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ForwardOutcome::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::getChanged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ForwardOutcome::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HeartbeatReply::Builder::setChanged( ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void ForwardOutcome::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::initChanged(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ForwardOutcome::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HeartbeatReply::Builder::adoptChanged(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardOutcome::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>> HeartbeatReply::Builder::disownChanged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::RegisterEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ForwardOutcome::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HeartbeatReply::Reader::hasRemoved() const {
+inline bool ForwardOutcome::Reader::hasProblem() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeartbeatReply::Builder::hasRemoved() {
+inline bool ForwardOutcome::Builder::hasProblem() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader HeartbeatReply::Reader::getRemoved() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::bamboogap::wire::Problem::Reader ForwardOutcome::Reader::getProblem() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::getRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::bamboogap::wire::Problem::Builder ForwardOutcome::Builder::getProblem() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HeartbeatReply::Builder::setRemoved( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::Problem::Pipeline ForwardOutcome::Pipeline::getProblem() {
+  return  ::bamboogap::wire::Problem::Pipeline(_typeless.getPointerField(1));
 }
-inline void HeartbeatReply::Builder::setRemoved(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void ForwardOutcome::Builder::setProblem( ::bamboogap::wire::Problem::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::initRemoved(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::bamboogap::wire::Problem::Builder ForwardOutcome::Builder::initProblem() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HeartbeatReply::Builder::adoptRemoved(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardOutcome::Builder::adoptProblem(
+    ::capnp::Orphan< ::bamboogap::wire::Problem>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> HeartbeatReply::Builder::disownRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::bamboogap::wire::Problem> ForwardOutcome::Builder::disownProblem() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool HeartbeatReply::Reader::hasRunning() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool HeartbeatReply::Builder::hasRunning() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader HeartbeatReply::Reader::getRunning() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::getRunning() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void HeartbeatReply::Builder::setRunning( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline void HeartbeatReply::Builder::setRunning(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::initRunning(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::int64_t ForwardOutcome::Reader::getRetryAfterMicros() const {
