+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HeartbeatReply::Builder::adoptRunning(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t ForwardOutcome::Builder::getRetryAfterMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> HeartbeatReply::Builder::disownRunning() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void ForwardOutcome::Builder::setRetryAfterMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeartbeatReply::Reader::hasRampLimits() const {
+inline bool ForwardOutcome::Reader::hasMovedTo() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeartbeatReply::Builder::hasRampLimits() {
+inline bool ForwardOutcome::Builder::hasMovedTo() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader HeartbeatReply::Reader::getRampLimits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::getRampLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void HeartbeatReply::Builder::setRampLimits( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline void HeartbeatReply::Builder::setRampLimits(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder HeartbeatReply::Builder::initRampLimits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void HeartbeatReply::Builder::adoptRampLimits(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ForwardOutcome::Reader::getMovedTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> HeartbeatReply::Builder::disownRampLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ForwardOutcome::Builder::getMovedTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline bool HeartbeatReply::Reader::hasPools() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+inline void ForwardOutcome::Builder::setMovedTo( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline bool HeartbeatReply::Builder::hasPools() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+inline void ForwardOutcome::Builder::setMovedTo(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader HeartbeatReply::Reader::getPools() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ForwardOutcome::Builder::initMovedTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::getPools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline void ForwardOutcome::Builder::adoptMovedTo(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void HeartbeatReply::Builder::setPools( ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ForwardOutcome::Builder::disownMovedTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>::Builder HeartbeatReply::Builder::initPools(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+
+inline bool ForwardOutcome::Reader::getCrashed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void HeartbeatReply::Builder::adoptPools(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool ForwardOutcome::Builder::getCrashed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>> HeartbeatReply::Builder::disownPools() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PoolLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline void ForwardOutcome::Builder::setCrashed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HeartbeatReply::Reader::getLimitsVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::int64_t ForwardOutcome::Reader::getWaitedMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HeartbeatReply::Builder::getLimitsVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::int64_t ForwardOutcome::Builder::getWaitedMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HeartbeatReply::Builder::setLimitsVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void ForwardOutcome::Builder::setWaitedMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Header::Reader::hasName() const {
+inline bool ModelOffer::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasName() {
+inline bool ModelOffer::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getName() const {
+inline  ::capnp::Text::Reader ModelOffer::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getName() {
+inline  ::capnp::Text::Builder ModelOffer::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+inline void ModelOffer::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder ModelOffer::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(
+inline void ModelOffer::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> ModelOffer::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Header::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Header::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Header::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Header::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t ForwardRequest::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t ModelOffer::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ForwardRequest::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t ModelOffer::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ModelOffer::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::bamboogap::wire::ForwardKind ForwardRequest::Reader::getKind() const {
-  return _reader.getDataField< ::bamboogap::wire::ForwardKind>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::bamboogap::wire::ForwardKind ForwardRequest::Builder::getKind() {
-  return _builder.getDataField< ::bamboogap::wire::ForwardKind>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void ForwardRequest::Builder::setKind( ::bamboogap::wire::ForwardKind value) {
-  _builder.setDataField< ::bamboogap::wire::ForwardKind>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ForwardRequest::Reader::hasEndpoint() const {
+inline bool EndpointRecord::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasEndpoint() {
+inline bool EndpointRecord::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader EndpointRecord::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void EndpointRecord::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptEndpoint(
+inline void EndpointRecord::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointRecord::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::getIsHome() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+inline  ::int64_t EndpointRecord::Reader::getBornMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool ForwardRequest::Builder::getIsHome() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+inline  ::int64_t EndpointRecord::Builder::getBornMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setIsHome(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+inline void EndpointRecord::Builder::setBornMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ForwardRequest::Reader::getChat() const {
+inline  ::uint64_t EndpointRecord::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ForwardRequest::Builder::getChat() {
+inline  ::uint64_t EndpointRecord::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setChat( ::uint64_t value) {
+inline void EndpointRecord::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardRequest::Reader::hasWorkspace() const {
+inline bool EndpointRecord::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasWorkspace() {
+inline bool EndpointRecord::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader EndpointRecord::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void EndpointRecord::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void ForwardRequest::Builder::adoptWorkspace(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownWorkspace() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t ForwardRequest::Reader::getShare() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t ForwardRequest::Builder::getShare() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void ForwardRequest::Builder::setShare( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t ForwardRequest::Reader::getPriority() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t ForwardRequest::Builder::getPriority() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
-}
-inline void ForwardRequest::Builder::setPriority( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t ForwardRequest::Reader::getStartWithinMicros() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t ForwardRequest::Builder::getStartWithinMicros() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void ForwardRequest::Builder::setStartWithinMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ForwardRequest::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ForwardRequest::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void ForwardRequest::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ForwardRequest::Reader::getMayWait() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
-}
-
-inline bool ForwardRequest::Builder::getMayWait() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::setMayWait(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
+inline void EndpointRecord::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndpointRecord::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasModel() const {
+inline bool EndpointRecord::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasModel() {
+inline bool EndpointRecord::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getModel() const {
+inline  ::capnp::Text::Reader EndpointRecord::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getModel() {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setModel( ::capnp::Text::Reader value) {
+inline void EndpointRecord::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initModel(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptModel(
+inline void EndpointRecord::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownModel() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointRecord::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasAdapter() const {
+inline bool EndpointRecord::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasAdapter() {
+inline bool EndpointRecord::Builder::hasDataCentre() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getAdapter() const {
+inline  ::capnp::Text::Reader EndpointRecord::Reader::getDataCentre() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getAdapter() {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::getDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setAdapter( ::capnp::Text::Reader value) {
+inline void EndpointRecord::Builder::setDataCentre( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initAdapter(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointRecord::Builder::initDataCentre(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptAdapter(
+inline void EndpointRecord::Builder::adoptDataCentre(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownAdapter() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointRecord::Builder::disownDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool ForwardRequest::Builder::hasVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void ForwardRequest::Builder::setVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::uint32_t EndpointRecord::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t EndpointRecord::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::adoptVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointRecord::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint32_t EndpointRecord::Reader::getWarmupLeftMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline bool ForwardRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t EndpointRecord::Builder::getWarmupLeftMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline bool ForwardRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline void EndpointRecord::Builder::setWarmupLeftMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline  ::uint8_t EndpointRecord::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline  ::uint8_t EndpointRecord::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void EndpointRecord::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+
+inline bool EndpointRecord::Reader::getHeard() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<200>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool EndpointRecord::Builder::getHeard() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<200>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void EndpointRecord::Builder::setHeard(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<200>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardRequest::Reader::hasMethod() const {
+inline bool EndpointRecord::Reader::hasModels() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasMethod() {
+inline bool EndpointRecord::Builder::hasModels() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getMethod() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Reader EndpointRecord::Reader::getModels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Builder EndpointRecord::Builder::getModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setMethod( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void EndpointRecord::Builder::setModels( ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initMethod(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Builder EndpointRecord::Builder::initModels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptMethod(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointRecord::Builder::adoptModels(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>> EndpointRecord::Builder::disownModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardRequest::Reader::hasPath() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline bool ForwardRequest::Builder::hasPath() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getPath() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getPath() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void ForwardRequest::Builder::setPath( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline  ::uint64_t EndpointUse::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initPath(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t EndpointUse::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::adoptPath(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void EndpointUse::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownPath() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+
+inline  ::uint16_t EndpointUse::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool ForwardRequest::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t EndpointUse::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline bool ForwardRequest::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+inline void EndpointUse::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardRequest::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+
+inline  ::uint32_t EndpointUse::Reader::getUnreadTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+
+inline  ::uint32_t EndpointUse::Builder::getUnreadTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setHeaders( ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+inline void EndpointUse::Builder::setUnreadTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t CrashReport::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t CrashReport::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>> ForwardRequest::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline void CrashReport::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardRequest::Reader::hasBody() const {
+inline bool CrashReport::Reader::hasCrash() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardRequest::Builder::hasBody() {
+inline bool CrashReport::Builder::hasCrash() {
   return !_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader ForwardRequest::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder ForwardRequest::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline void ForwardRequest::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder ForwardRequest::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ForwardRequest::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Reader CrashReport::Reader::getCrash() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Data> ForwardRequest::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CrashReport::Builder::getCrash() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool ForwardRequest::Reader::getStream() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+inline void CrashReport::Builder::setCrash( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool ForwardRequest::Builder::getStream() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder CrashReport::Builder::initCrash(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::setStream(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
+inline void CrashReport::Builder::adoptCrash(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownCrash() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Problem::Reader::hasKind() const {
+inline bool SyncRequest::Reader::hasRouter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Problem::Builder::hasKind() {
+inline bool SyncRequest::Builder::hasRouter() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Problem::Reader::getKind() const {
+inline  ::capnp::Text::Reader SyncRequest::Reader::getRouter() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Problem::Builder::getKind() {
+inline  ::capnp::Text::Builder SyncRequest::Builder::getRouter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Problem::Builder::setKind( ::capnp::Text::Reader value) {
+inline void SyncRequest::Builder::setRouter( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Problem::Builder::initKind(unsigned int size) {
+inline  ::capnp::Text::Builder SyncRequest::Builder::initRouter(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Problem::Builder::adoptKind(
+inline void SyncRequest::Builder::adoptRouter(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Problem::Builder::disownKind() {
+inline ::capnp::Orphan< ::capnp::Text> SyncRequest::Builder::disownRouter() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Problem::Reader::hasMessage() const {
+inline  ::uint64_t SyncRequest::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncRequest::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Problem::Builder::hasMessage() {
+inline bool SyncRequest::Builder::hasDataCentre() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Problem::Reader::getMessage() const {
+inline  ::capnp::Text::Reader SyncRequest::Reader::getDataCentre() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Problem::Builder::getMessage() {
+inline  ::capnp::Text::Builder SyncRequest::Builder::getDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Problem::Builder::setMessage( ::capnp::Text::Reader value) {
+inline void SyncRequest::Builder::setDataCentre( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Problem::Builder::initMessage(unsigned int size) {
+inline  ::capnp::Text::Builder SyncRequest::Builder::initDataCentre(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Problem::Builder::adoptMessage(
+inline void SyncRequest::Builder::adoptDataCentre(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Problem::Builder::disownMessage() {
+inline ::capnp::Orphan< ::capnp::Text> SyncRequest::Builder::disownDataCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Problem::Reader::hasRemedy() const {
+inline  ::uint64_t SyncRequest::Reader::getRosterEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getRosterEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setRosterEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncRequest::Reader::getRosterVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getRosterVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setRosterVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncRequest::Reader::hasUses() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Problem::Builder::hasRemedy() {
+inline bool SyncRequest::Builder::hasUses() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Problem::Reader::getRemedy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Problem::Builder::getRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Problem::Builder::setRemedy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void SyncRequest::Builder::setUses( ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Problem::Builder::initRemedy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Problem::Builder::adoptRemedy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SyncRequest::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Problem::Builder::disownRemedy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::bamboogap::wire::ForwardResult ForwardOutcome::Reader::getResult() const {
-  return _reader.getDataField< ::bamboogap::wire::ForwardResult>(
+inline bool SyncRequest::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setCrashes( ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncRequest::Reader::getSuspectsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getSuspectsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setSuspectsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncRequest::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncRequest::Reader::getRoutesVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getRoutesVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setRoutesVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::getCurrent() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::bamboogap::wire::ForwardResult ForwardOutcome::Builder::getResult() {
-  return _builder.getDataField< ::bamboogap::wire::ForwardResult>(
+inline bool SyncReply::Builder::getCurrent() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardOutcome::Builder::setResult( ::bamboogap::wire::ForwardResult value) {
-  _builder.setDataField< ::bamboogap::wire::ForwardResult>(
+inline void SyncReply::Builder::setCurrent(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardOutcome::Reader::hasEndpoint() const {
+inline  ::uint64_t SyncReply::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncReply::Reader::getRoutesVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getRoutesVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setRoutesVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasDataCentresOut() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardOutcome::Builder::hasEndpoint() {
+inline bool SyncReply::Builder::hasDataCentresOut() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardOutcome::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SyncReply::Reader::getDataCentresOut() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardOutcome::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SyncReply::Builder::getDataCentresOut() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardOutcome::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void SyncReply::Builder::setDataCentresOut( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardOutcome::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void SyncReply::Builder::setDataCentresOut(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SyncReply::Builder::initDataCentresOut(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardOutcome::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SyncReply::Builder::adoptDataCentresOut(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardOutcome::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SyncReply::Builder::disownDataCentresOut() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardOutcome::Reader::hasProblem() const {
+inline  ::uint64_t SyncReply::Reader::getRosterEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getRosterEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setRosterEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncReply::Reader::getRosterVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getRosterVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setRosterVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::getRosterFull() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getRosterFull() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setRosterFull(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasChanged() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardOutcome::Builder::hasProblem() {
+inline bool SyncReply::Builder::hasChanged() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::bamboogap::wire::Problem::Reader ForwardOutcome::Reader::getProblem() const {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::get(_reader.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getChanged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::bamboogap::wire::Problem::Builder ForwardOutcome::Builder::getProblem() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::get(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::bamboogap::wire::Problem::Pipeline ForwardOutcome::Pipeline::getProblem() {
-  return  ::bamboogap::wire::Problem::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void ForwardOutcome::Builder::setProblem( ::bamboogap::wire::Problem::Reader value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::set(_builder.getPointerField(
+inline void SyncReply::Builder::setChanged( ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::bamboogap::wire::Problem::Builder ForwardOutcome::Builder::initProblem() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initChanged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ForwardOutcome::Builder::adoptProblem(
-    ::capnp::Orphan< ::bamboogap::wire::Problem>&& value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::adopt(_builder.getPointerField(
+inline void SyncReply::Builder::adoptChanged(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::bamboogap::wire::Problem> ForwardOutcome::Builder::disownProblem() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::Problem>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SyncReply::Reader::hasUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setUses( ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t ForwardOutcome::Reader::getRetryAfterMicros() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint16_t SyncReply::Reader::getRouters() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ForwardOutcome::Builder::getRetryAfterMicros() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint16_t SyncReply::Builder::getRouters() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ForwardOutcome::Builder::setRetryAfterMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void SyncReply::Builder::setRouters( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardOutcome::Reader::hasMovedTo() const {
+inline bool SyncReply::Reader::hasReplicas() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardOutcome::Builder::hasMovedTo() {
+inline bool SyncReply::Builder::hasReplicas() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ForwardOutcome::Reader::getMovedTo() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SyncReply::Reader::getReplicas() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ForwardOutcome::Builder::getMovedTo() {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SyncReply::Builder::getReplicas() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ForwardOutcome::Builder::setMovedTo( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+inline void SyncReply::Builder::setReplicas( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void ForwardOutcome::Builder::setMovedTo(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+inline void SyncReply::Builder::setReplicas(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ForwardOutcome::Builder::initMovedTo(unsigned int size) {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SyncReply::Builder::initReplicas(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ForwardOutcome::Builder::adoptMovedTo(
+inline void SyncReply::Builder::adoptReplicas(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ForwardOutcome::Builder::disownMovedTo() {
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SyncReply::Builder::disownReplicas() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ForwardOutcome::Reader::getCrashed() const {
+inline  ::uint64_t SyncReply::Reader::getSuspectsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getSuspectsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setSuspectsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setSuspects( ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::SuspectChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool SyncReply::Reader::getHasSuspects() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool ForwardOutcome::Builder::getCrashed() {
+inline bool SyncReply::Builder::getHasSuspects() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ForwardOutcome::Builder::setCrashed(bool value) {
+inline void SyncReply::Builder::setHasSuspects(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t ForwardOutcome::Reader::getWaitedMicros() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint16_t SyncReply::Reader::getRank() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ForwardOutcome::Builder::getWaitedMicros() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint16_t SyncReply::Builder::getRank() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ForwardOutcome::Builder::setWaitedMicros( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void SyncReply::Builder::setRank( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
@@ -8959,6 +11322,233 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Node::SyncParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::SyncParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::SyncRequest::Reader Node::SyncParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::SyncRequest::Builder Node::SyncParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::SyncRequest::Pipeline Node::SyncParams::Pipeline::getRequest() {
+  return  ::bamboogap::wire::SyncRequest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::SyncParams::Builder::setRequest( ::bamboogap::wire::SyncRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::SyncRequest::Builder Node::SyncParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::SyncParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::bamboogap::wire::SyncRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::SyncRequest> Node::SyncParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::SyncResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::SyncResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::SyncReply::Reader Node::SyncResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::SyncReply::Builder Node::SyncResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::SyncReply::Pipeline Node::SyncResults::Pipeline::getReply() {
+  return  ::bamboogap::wire::SyncReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::SyncResults::Builder::setReply( ::bamboogap::wire::SyncReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::SyncReply::Builder Node::SyncResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::SyncResults::Builder::adoptReply(
+    ::capnp::Orphan< ::bamboogap::wire::SyncReply>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::SyncReply> Node::SyncResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::SyncReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Node::RoutesResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::RoutesResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::RoutesResults::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::RoutesResults::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::RoutesResults::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Node::RoutesResults::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Node::RoutesResults::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::RoutesResults::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Node::RoutesResults::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Node::RoutesResults::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Node::RoutesResults::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::NewestRoutesResults::Reader::getAnswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::NewestRoutesResults::Builder::getAnswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::NewestRoutesResults::Builder::setAnswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Node::NewestRoutesResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::NewestRoutesResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Node::NewestRoutesResults::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::NewestRoutesResults::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::NewestRoutesResults::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Node::NewestRoutesResults::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Node::NewestRoutesResults::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::NewestRoutesResults::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Node::NewestRoutesResults::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Node::NewestRoutesResults::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Node::NewestRoutesResults::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::NewestRoutesResults::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::NewestRoutesResults::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::LeaderHint::Reader Node::NewestRoutesResults::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LeaderHint>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::LeaderHint::Builder Node::NewestRoutesResults::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LeaderHint>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::LeaderHint::Pipeline Node::NewestRoutesResults::Pipeline::getLeader() {
+  return  ::bamboogap::wire::LeaderHint::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Node::NewestRoutesResults::Builder::setLeader( ::bamboogap::wire::LeaderHint::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::LeaderHint>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::LeaderHint::Builder Node::NewestRoutesResults::Builder::initLeader() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LeaderHint>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Node::NewestRoutesResults::Builder::adoptLeader(
+    ::capnp::Orphan< ::bamboogap::wire::LeaderHint>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::LeaderHint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::LeaderHint> Node::NewestRoutesResults::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LeaderHint>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/routing/endpointboard.cc
@@ -0,0 +1,334 @@
+// The placement decision and the observations it rests on.
+
+#include "routing/endpointboard.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.h"
+
+namespace bamboogap {
+
+namespace {
+
+// Weight of a new observation in the decayed means.
+constexpr double kNewWeight = 0.2;
+// Bounds of the slowness factor, so that one odd answer cannot exclude an endpoint.
+constexpr double kLeastSlowness = 0.5;
+constexpr double kMostSlowness = 20;
+// Each rank that an endpoint lies further down a prompt's rendezvous order costs
+// this much, in milliseconds: routers then agree on the place, also where they
+// believe the prompt to be cached at several endpoints.
+constexpr double kMillisPerRank = 0.5;
+// A cold endpoint costs this much more, in milliseconds, so that prompts do not come
+// and go with the pace that it bears.
+constexpr double kColdMillis = 150;
+// A request to another data centre costs this much more, in milliseconds: two
+// crossings, and the price of bytes between data centres.
+constexpr double kOtherDataCentreMillis = 2.5;
+// Usual time of a plain request before any was observed, in milliseconds.
+constexpr double kAssumedPlainMillis = 40;
+// A full batch makes a request wait for a place: cost for each waiting one.
+constexpr double kMillisPerWaiting = 20;
+
+bool offers(const EndpointBoard::Standing &standing, std::string_view model)
+{
+    return model.empty() || standing.models.empty()
+            || std::any_of(standing.models.begin(), standing.models.end(),
+                           [model](const ModelOffer &offer) { return offer.name == model; });
+}
+
+} // namespace
+
+EndpointBoard::EndpointBoard(BoardSettings settings)
+    : settings_(settings)
+{
+}
+
+void EndpointBoard::update(const MergedRoster &roster, const std::set<std::string> &dataCentresOut,
+                           const RouteTable *table, Instant now)
+{
+    services_.clear();
+    if (table) {
+        for (const ServiceProfile &service : table->services())
+            services_[service.name] = service;
+    }
+    for (auto &[key, standing] : standings_)
+        standing.usable = false;
+    for (const auto &[id, endpoint] : roster.endpoints()) {
+        const EndpointRecord &record = endpoint.record;
+        Standing &standing = standings_[endpoint.key];
+        const bool reborn = standing.id != record.id || standing.bornMillis != record.bornMillis;
+        if (reborn) {
+            const uint32_t running = standing.running;
+            const uint32_t unread = standing.unreadTokens;
+            standing = {};
+            standing.running = running;
+            standing.unreadTokens = unread;
+        }
+        standing.id = record.id;
+        standing.address = record.address;
+        standing.dataCentre = record.dataCentre;
+        standing.service = record.service;
+        standing.bornMillis = record.bornMillis;
+        standing.slots = std::max(1U, record.slots);
+        standing.models = record.models;
+        standing.coldUntil = std::max(standing.coldUntil, endpoint.coldUntil);
+        standing.usable = roster.mayUse(endpoint, now);
+        const bool out = dataCentresOut.count(record.dataCentre) > 0;
+        const auto profile = services_.find(record.service);
+        if (profile != services_.end()) {
+            if (profile->second.engine)
+                standing.cache.setCapacity(profile->second.engine->cacheTokens);
+            if (standing.out && !out)
+                standing.coldUntil = std::max(standing.coldUntil, now + profile->second.warmup);
+        }
+        standing.out = out;
+    }
+    std::erase_if(standings_, [](const auto &item) {
+        return !item.second.usable && item.second.running == 0 && !item.second.out;
+    });
+}
+
+void EndpointBoard::setOthers(std::span<const EndpointUse> uses)
+{
+    for (auto &[key, standing] : standings_) {
+        standing.othersRunning = 0;
+        standing.othersUnread = 0;
+    }
+    for (const EndpointUse &use : uses) {
+        const auto found = standings_.find(use.key);
+        if (found == standings_.end())
+            continue;
+        found->second.othersRunning = use.running;
+        found->second.othersUnread = use.unreadTokens;
+    }
+}
+
+double EndpointBoard::bearablePerSecond(const Standing &standing) const
+{
+    const auto found = services_.find(standing.service);
+    return found == services_.end() ? 0 : found->second.warmupPerSecond;
+}
+
+void EndpointBoard::price(Candidate &candidate, const PlacementRequest &request, size_t rank) const
+{
+    const Standing &standing = *candidate.standing;
+    const bool elsewhere = standing.dataCentre != request.dataCentre;
+    if (candidate.cold)
+        candidate.cost += kColdMillis;
+    const double waiting = std::max(0.0, double(standing.load()) - standing.slots);
+    candidate.cost += waiting * kMillisPerWaiting + (elsewhere ? kOtherDataCentreMillis : 0);
+    if (request.model.empty()) {
+        const double usual = standing.usualMillis > 0 ? standing.usualMillis : kAssumedPlainMillis;
+        candidate.cost += usual * (1 + double(standing.load()) / standing.slots);
+        return;
+    }
+    const uint32_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens;
+    const double missed = candidate.uncached > own ? candidate.uncached - own : 0;
+    const double unread = double(candidate.uncached) + standing.unreadTokens
+            + standing.othersUnread;
+    candidate.cost += standing.slowness
+            * (unread / settings_.readTokensPerMilli
+               + settings_.millisPerRunning * standing.load());
+    candidate.cost += missed / settings_.readTokensPerMilli * settings_.missPenalty
+            + kMillisPerRank * double(rank);
+}
+
+// What each candidate would have to read. A prompt whose shared parts this router
+// has not placed before was probably placed by others at its first choice.
+void EndpointBoard::believeCached(const PlacementRequest &request,
+                                  std::vector<Candidate> &candidates)
+{
+    const uint32_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens;
+    const uint32_t shared = request.promptTokens - std::min(request.promptTokens, own);
+    bool known = false;
+    for (Candidate &candidate : candidates) {
+        const uint32_t cached = candidate.standing->cache.cachedTokens(request.prompt);
+        candidate.uncached = request.promptTokens - std::min(request.promptTokens, cached);
+        known = known || cached >= shared;
+    }
+    if (known)
+        return;
+    const auto first = std::find_if(candidates.begin(), candidates.end(),
+                                    [](const Candidate &candidate) { return !candidate.cold; });
+    if (first != candidates.end())
+        first->uncached = std::min(first->uncached, own);
+}
+
+tl::expected<Placement, PlacementProblem>
+EndpointBoard::place(const PlacementRequest &request, Instant now, double chance)
+{
+    std::vector<Candidate> candidates;
+    double load = 0;
+    size_t usable = 0;
+    bool sawCold = false;
+    std::vector<Candidate> ejected; // the last resort
+    for (auto &[key, standing] : standings_) {
+        if (!standing.usable || standing.out || standing.service != request.service
+            || !offers(standing, request.model))
+            continue;
+        ++usable;
+        load += standing.load();
+        if (request.avoid && request.avoid->count(key) > 0)
+            continue;
+        if (standing.health.isEjected(now)
+            || (standing.health.onProbation(now) && standing.running > 0)) {
+            ejected.push_back({ key, &standing, request.promptTokens, 0 });
+            continue;
+        }
+        const bool cold = now < standing.coldUntil || standing.health.onProbation(now);
+        if (cold && !standing.pace.mayTake(bearablePerSecond(standing), fleet_, key, now)) {
+            sawCold = true;
+            continue;
+        }
+        candidates.push_back({ key, &standing, request.promptTokens, 0, cold });
+    }
+    if (candidates.empty() && !sawCold)
+        candidates = std::move(ejected);
+    if (candidates.empty()) {
+        return tl::unexpected(sawCold ? PlacementProblem::Cold : PlacementProblem::NoEndpoint);
+    }
+    if (!request.model.empty()) {
+        const uint64_t affinity = affinityKey(request.prompt);
+        std::sort(candidates.begin(), candidates.end(), [&](const auto &a, const auto &b) {
+            return combineHashes(affinity, a.key) > combineHashes(affinity, b.key);
+        });
+        believeCached(request, candidates);
+    }
+    const double most = settings_.loadMultiple * load / double(usable) + settings_.loadAllowance;
+    const Candidate *best = nullptr;
+    const Candidate *leastLoaded = nullptr;
+    // Starting at a random place spreads ties.
+    const size_t start = static_cast<size_t>(chance * double(candidates.size()));
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const size_t index = (start + i) % candidates.size();
+        Candidate &candidate = candidates[index];
+        price(candidate, request, index);
+        if (!leastLoaded || candidate.standing->load() < leastLoaded->standing->load())
+            leastLoaded = &candidate;
+        if (candidate.standing->load() + 1 <= most && (!best || candidate.cost < best->cost))
+            best = &candidate;
+    }
+    if (!best)
+        best = leastLoaded;
+    Standing &chosen = *best->standing;
+    const bool cold = now < chosen.coldUntil || chosen.health.onProbation(now);
+    if (cold)
+        chosen.pace.take(bearablePerSecond(chosen), fleet_, best->key, now);
+    return Placement { best->key, best->uncached, chosen.load(), best->cost, candidates.size() };
+}
+
+void EndpointBoard::began(EndpointKey key, const PlacementRequest &request)
+{
+    Standing &standing = standings_[key];
+    ++standing.running;
+    if (request.model.empty())
+        return;
+    const uint32_t cached = standing.cache.cachedTokens(request.prompt);
+    standing.unreadTokens += request.promptTokens - std::min(request.promptTokens, cached);
+    standing.cache.insert(request.prompt);
+}
+
+void EndpointBoard::firstToken(EndpointKey key, uint32_t unreadTokens, double expectedMillis,
+                               Duration latency)
+{
+    const auto found = standings_.find(key);
+    if (found == standings_.end())
+        return;
+    Standing &standing = found->second;
+    standing.unreadTokens -= std::min(standing.unreadTokens, unreadTokens);
+    const double millis = std::chrono::duration<double, std::milli>(latency).count();
+    const double ratio = std::clamp(millis / std::max(expectedMillis, 1.0), kLeastSlowness,
+                                    kMostSlowness);
+    standing.slowness += kNewWeight * (ratio - standing.slowness);
+}
+
+bool EndpointBoard::ended(EndpointKey key, uint32_t unreadTokens, bool hadFirstToken,
+                          Outcome outcome, Duration latency, Instant now)
+{
+    const auto found = standings_.find(key);
+    if (found == standings_.end())
+        return false;
+    Standing &standing = found->second;
+    standing.running -= std::min(standing.running, 1U);
+    if (!hadFirstToken)
+        standing.unreadTokens -= std::min(standing.unreadTokens, unreadTokens);
+    if (outcome == Outcome::Succeeded) {
+        const double millis = std::chrono::duration<double, std::milli>(latency).count();
+        if (standing.usualMillis <= 0)
+            standing.usualMillis = millis;
+        standing.usualMillis += kNewWeight * (millis - standing.usualMillis);
+    }
+    const double peers = peerFailureShare(standing.service, key, now);
+    return standing.health.record(outcome, peers, mayEject(standing.service, now), now);
+}
+
+bool EndpointBoard::mayEject(std::string_view service, Instant now) const
+{
+    size_t usable = 0;
+    size_t ejected = 0;
+    for (const auto &[key, standing] : standings_) {
+        if (standing.service != service || !standing.usable)
+            continue;
+        ++usable;
+        ejected += standing.health.isEjected(now);
+    }
+    return double(ejected + 1) <= std::max(1.0, settings_.mostEjected * double(usable));
+}
+
+double EndpointBoard::peerFailureShare(std::string_view service, EndpointKey except,
+                                       Instant now) const
+{
+    double sum = 0;
+    size_t count = 0;
+    for (const auto &[key, standing] : standings_) {
+        if (key == except || standing.service != service || !standing.usable)
+            continue;
+        sum += standing.health.failureShare(now);
+        ++count;
+    }
+    return count == 0 ? 1 : sum / double(count);
+}
+
+std::vector<EndpointUse> EndpointBoard::ownUses() const
+{
+    std::vector<EndpointUse> uses;
+    for (const auto &[key, standing] : standings_) {
+        if (standing.running > 0)
+            uses.push_back({ key, standing.running, standing.unreadTokens });
+    }
+    return uses;
+}
+
+const EndpointBoard::Standing *EndpointBoard::find(EndpointKey key) const
+{
+    const auto found = standings_.find(key);
+    return found == standings_.end() ? nullptr : &found->second;
+}
+
+double EndpointBoard::fill(std::string_view service) const
+{
+    double running = 0;
+    double slots = 0;
+    for (const auto &[key, standing] : standings_) {
+        if (!standing.usable || standing.out || standing.service != service)
+            continue;
+        running += standing.load();
+        slots += standing.slots;
+    }
+    return slots > 0 ? running / slots : 1;
+}
+
+std::string_view placementProblemName(PlacementProblem problem)
+{
+    switch (problem) {
+    case PlacementProblem::NoEndpoint:
+        return "no_endpoint";
+    case PlacementProblem::Cold:
+        return "only_cold_endpoints";
+    }
+    return "no_endpoint";
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/routing/endpointboard.h
@@ -0,0 +1,158 @@
+// Placement by a direct router: which endpoint gets a request.
+//
+// The board joins what replicas say of endpoints (the merged roster), what other
+// routers have under way there, and this router's own requests. For engines it
+// picks the endpoint with the least expected time to the first token: prompt
+// tokens that are not cached there, prompts that wait there, and the batch that
+// runs. For plain services it picks the least loaded. It answers the load pattern of many
+// short requests that share long prompt starts, under uneven and late knowledge of
+// the load.
+//
+// Pure: every call takes the time, and chance comes as a number in [0, 1).
+
+#ifndef BAMBOOGAP_ROUTING_ENDPOINTBOARD_H
+#define BAMBOOGAP_ROUTING_ENDPOINTBOARD_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/roster.h"
+#include "fleet/routerboard.h"
+#include "routing/coldpace.h"
+#include "routing/endpointhealth.h"
+#include "routing/prefixcache.h"
+#include "routing/routetable.h"
+
+namespace bamboogap {
+
+struct BoardSettings
+{
+    // An endpoint takes no more than this multiple of the service's mean load plus
+    // the allowance. The bound that must hold is 2 and 3; what other routers do in
+    // the meantime needs the difference.
+    double loadMultiple = 1.5;
+    double loadAllowance = 2;
+    // Prompt tokens that an engine reads in a millisecond, before it was observed.
+    double readTokensPerMilli = 100;
+    // Time to first token that each running request adds, in milliseconds.
+    double millisPerRunning = 2;
+    // Times the reading time that reading a shared part again costs: it also takes
+    // room from other prompts and delays the tokens of all that run beside it.
+    double missPenalty = 4;
+    // At most this share of a service's endpoints is ejected for failed requests.
+    double mostEjected = 0.4;
+};
+
+struct PlacementRequest
+{
+    std::string_view service;
+    std::string_view model; // empty for plain services
+    std::span<const PrefixPart> prompt;
+    uint32_t promptTokens = 0;
+    std::string_view dataCentre; // of this router; breaks ties
+    const std::set<EndpointKey> *avoid = nullptr; // tried already
+};
+
+enum class PlacementProblem {
+    NoEndpoint, // none announced, or all draining, out of service or tried
+    Cold, // only cold endpoints are left and their pace is used up
+};
+
+struct Placement
+{
+    EndpointKey key = 0;
+    uint32_t uncachedTokens = 0;
+    uint32_t running = 0; // known to run there before this request
+    double cost = 0; // milliseconds
+    size_t candidates = 0;
+};
+
+class EndpointBoard
+{
+public:
+    struct Standing
+    {
+        std::string id;
+        std::string address;
+        std::string dataCentre;
+        std::string service;
+        int64_t bornMillis = 0;
+        uint32_t slots = 1;
+        std::vector<ModelOffer> models;
+        bool usable = false;
+        bool out = false; // its data centre is out of service
+        Instant coldUntil {};
+        uint32_t running = 0;
+        uint32_t unreadTokens = 0;
+        uint32_t othersRunning = 0;
+        uint32_t othersUnread = 0;
+        double slowness = 1; // observed over expected time, decayed
+        double usualMillis = 0; // of plain requests, decayed; 0 before the first
+        EndpointHealth health;
+        ColdPace pace;
+        PrefixCache cache;
+
+        uint32_t load() const { return running + othersRunning; }
+    };
+
+    explicit EndpointBoard(BoardSettings settings = {});
+
+    // Takes over the roster, outages and service profiles. Endpoints whose data
+    // centre comes back count as cold for the service's warm-up.
+    void update(const MergedRoster &roster, const std::set<std::string> &dataCentresOut,
+                const RouteTable *table, Instant now);
+    void setOthers(std::span<const EndpointUse> uses);
+    void setFleet(FleetSize fleet) { fleet_ = fleet; }
+
+    tl::expected<Placement, PlacementProblem> place(const PlacementRequest &request, Instant now,
+                                                    double chance);
+
+    // A request goes to the endpoint now.
+    void began(EndpointKey key, const PlacementRequest &request);
+    // Its first token or byte came.
+    void firstToken(EndpointKey key, uint32_t promptTokens, double expectedMillis,
+                    Duration latency);
+    // It ended. hadFirstToken tells whether firstToken() was called. True if the
+    // endpoint was ejected by this.
+    bool ended(EndpointKey key, uint32_t promptTokens, bool hadFirstToken, Outcome outcome,
+               Duration latency, Instant now);
+
+    std::vector<EndpointUse> ownUses() const;
+    const Standing *find(EndpointKey key) const;
+    const std::map<EndpointKey, Standing> &standings() const { return standings_; }
+    // Running requests over places, of the usable endpoints of a service.
+    double fill(std::string_view service) const;
+
+private:
+    struct Candidate
+    {
+        EndpointKey key = 0;
+        Standing *standing = nullptr;
+        uint32_t uncached = 0;
+        double cost = 0;
+        bool cold = false;
+    };
+
+    double bearablePerSecond(const Standing &standing) const;
+    bool mayEject(std::string_view service, Instant now) const;
+    double peerFailureShare(std::string_view service, EndpointKey except, Instant now) const;
+    static void believeCached(const PlacementRequest &request, std::vector<Candidate> &candidates);
+    void price(Candidate &candidate, const PlacementRequest &request, size_t rank) const;
+
+    BoardSettings settings_;
+    FleetSize fleet_;
+    std::map<EndpointKey, Standing> standings_;
+    std::map<std::string, ServiceProfile, std::less<>> services_;
+};
+
+std::string_view placementProblemName(PlacementProblem problem);
+
+} // namespace bamboogap
+
+#endif
--- a/routing/eventstream.h
+++ b/routing/eventstream.h
@@ -26,12 +26,17 @@
     void dropPartial() { partial_.clear(); }
 
     size_t events() const { return events_; }
+    // The id of the last event that was handed on; empty if it had none.
+    const std::string &lastId() const { return lastId_; }
+    // Whether part of an event has come in.
+    bool hasPartial() const { return !partial_.empty(); }
     // The final event, [DONE], was handed on.
     bool finished() const { return finished_; }
     bool overlong() const { return partial_.size() > kMaxEventBytes; }
 
 private:
     std::string partial_;
+    std::string lastId_;
     size_t events_ = 0;
     bool finished_ = false;
 };
--- /dev/null
+++ b/routing/prefixcache.cc
@@ -0,0 +1,72 @@
+// A chain of hashes stands for a prompt's start, so that a part is found only
+// after the same parts before it.
+
+#include "routing/prefixcache.h"
+
+#include "base/hash.h"
+
+namespace bamboogap {
+
+namespace {
+
+uint64_t extendChain(uint64_t chain, const PrefixPart &part)
+{
+    return combineHashes(chain, part.id);
+}
+
+} // namespace
+
+uint64_t affinityKey(std::span<const PrefixPart> prompt)
+{
+    if (prompt.empty())
+        return 0;
+    return prompt.size() == 1 ? prompt[0].id : prompt[prompt.size() - 2].id;
+}
+
+void PrefixCache::insert(std::span<const PrefixPart> prompt)
+{
+    uint64_t chain = 0;
+    for (const PrefixPart &part : prompt) {
+        chain = extendChain(chain, part);
+        const auto found = byChain_.find(chain);
+        if (found != byChain_.end()) {
+            parts_.splice(parts_.begin(), parts_, found->second);
+            continue;
+        }
+        parts_.push_front({ chain, part.tokens });
+        byChain_[chain] = parts_.begin();
+        tokens_ += part.tokens;
+    }
+    evict();
+}
+
+uint32_t PrefixCache::cachedTokens(std::span<const PrefixPart> prompt) const
+{
+    uint64_t chain = 0;
+    uint32_t cached = 0;
+    for (const PrefixPart &part : prompt) {
+        chain = extendChain(chain, part);
+        if (byChain_.count(chain) == 0)
+            break;
+        cached += part.tokens;
+    }
+    return cached;
+}
+
+void PrefixCache::clear()
+{
+    parts_.clear();
+    byChain_.clear();
+    tokens_ = 0;
+}
+
+void PrefixCache::evict()
+{
+    while (tokens_ > capacityTokens_ && !parts_.empty()) {
+        tokens_ -= parts_.back().tokens;
+        byChain_.erase(parts_.back().chain);
+        parts_.pop_back();
+    }
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/routing/routetable.h
@@ -0,0 +1,125 @@
+// What a direct router routes by: routes, services, workspaces with their access
+// keys, and limits, as one immutable version.
+
+#ifndef BAMBOOGAP_ROUTING_ROUTETABLE_H
+#define BAMBOOGAP_ROUTING_ROUTETABLE_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+
+namespace bamboogap {
+
+// What a route allows to be sent more than once.
+enum class Repeatability {
+    Idempotent, // the whole request
+    AtMostOnce, // nothing
+    Stream, // nothing, unless the route is resumable
+};
+
+struct RouteTarget
+{
+    std::string service;
+    uint32_t weight = 1;
+};
+
+struct Route
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix; // begins and ends with a slash
+    Repeatability repeatability = Repeatability::AtMostOnce;
+    bool resumable = false; // a stream may go on at another endpoint
+    bool anonymous = false; // needs no access key
+    Duration timeout {};
+    Duration latencyGoal {};
+    Duration eventGapGoal {}; // longest pause between events of a stream
+    uint32_t maxAttempts = 1; // endpoints that may run one request
+    uint32_t priority = 0; // 0 is the most urgent
+    std::vector<RouteTarget> targets;
+};
+
+// What the engines of a service have in common.
+struct EngineProfile
+{
+    uint32_t batchSlots = 1;
+    uint64_t cacheTokens = 0; // KV cache capacity
+};
+
+struct ServiceProfile
+{
+    std::string name;
+    std::string healthPath;
+    uint32_t maxConnections = 0; // an endpoint's limit, from all callers together
+    Duration warmup {}; // how long an endpoint stays cold after its start
+    double warmupPerSecond = 0; // requests a second that a cold endpoint bears
+    std::optional<EngineProfile> engine; // absent for plain services
+};
+
+struct Workspace
+{
+    std::string name;
+    std::vector<std::string> keys;
+    std::optional<uint32_t> priority; // goes before the route's
+};
+
+// What callers may send, and how long they may take.
+struct CallerLimits
+{
+    size_t maxHeaderBytes = 16 << 10;
+    size_t maxBodyBytes = 4 << 20;
+    Duration idleTimeout = std::chrono::seconds(15); // of a connection without a request
+};
+
+class RouteTable
+{
+public:
+    struct Content
+    {
+        uint64_t version = 0;
+        std::vector<Route> routes;
+        std::vector<ServiceProfile> services;
+        std::vector<Workspace> workspaces;
+        CallerLimits limits;
+    };
+
+    // InvalidRequest if a route names an unknown service, two routes share host and
+    // prefix, a route's weights add up to 0, a timeout is 0, a prefix lacks its
+    // slashes, or two workspaces share a key. The message names the place.
+    static Result<RouteTable> build(Content content);
+
+    uint64_t version() const { return content_.version; }
+    const std::vector<Route> &routes() const { return content_.routes; }
+    const std::vector<ServiceProfile> &services() const { return content_.services; }
+    const CallerLimits &limits() const { return content_.limits; }
+    // Requests need an access key once there are workspaces.
+    bool hasWorkspaces() const { return !content_.workspaces.empty(); }
+
+    // The route of the host with the longest prefix that begins the path, without
+    // its query; null if there is none.
+    const Route *match(std::string_view host, std::string_view path) const;
+    const ServiceProfile *service(std::string_view name) const;
+    // Null for an unknown key.
+    const Workspace *workspaceOfKey(std::string_view key) const;
+
+private:
+    Content content_;
+    // Indexes into the content. Routes of a host by prefix, longest first.
+    std::map<std::string, std::vector<size_t>, std::less<>> routesByHost_;
+    std::map<std::string, size_t, std::less<>> servicesByName_;
+    std::unordered_map<std::string, size_t> workspacesByKey_;
+};
+
+// The target that a number in [0, 1) falls on by the targets' weights.
+const RouteTarget &targetAt(const Route &route, double point);
+
+} // namespace bamboogap
+
+#endif
