Unread tokens are taken back as they were added; ranks of a prompt's order priced

Cause: began() added the whole prompt, firstToken() took back only what the placement credited, so every endpoint's backlog grew without end and ranks were chosen at random (ranks 0 to 10 equally often in the log).

--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -303,12 +303,14 @@
                { "endpoint", active.endpointId },
                { "send", fmt::to_string(active.sends) },
                { "running", fmt::to_string(placement.running) },
+               { "prompt", fmt::format("{:x}", affinityKey(active.caller.prompt)) },
+               { "tokens", fmt::to_string(active.caller.promptTokens) },
+               { "rank", fmt::to_string(placement.rank) },
                { "uncached", fmt::to_string(placement.uncachedTokens) },
                { "cost_ms", fmt::format("{:.1f}", placement.cost) },
                { "candidates", fmt::to_string(placement.candidates) },
                { "knowledge_age_ms", fmt::to_string(toMillis(sync_->knowledgeAge(now))) } });
-    PlacementRequest request = placementRequest(active);
-    board_.began(placement.key, request);
+    board_.began(placement.key, placementRequest(active), placement.uncachedTokens);
     const ExchangeId id = active.id;
     CallHooks hooks;
     hooks.onHead = [this, id](int status, std::span<const HttpHeader> headers) {
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -19,7 +19,9 @@
 // Each rank that an endpoint lies further down a prompt's rendezvous order costs
 // this much, in milliseconds: routers then agree on the place, also where they
 // believe the prompt to be cached at several endpoints.
-constexpr double kMillisPerRank = 0.5;
+constexpr double kMillisPerRank = 4;
+// Ranks beyond this one cost the same: they hold the prompt by chance only.
+constexpr size_t kLastPricedRank = 4;
 // A cold endpoint costs this much more, in milliseconds, so that prompts do not come
 // and go with the pace that it bears.
 constexpr double kColdMillis = 150;
@@ -132,7 +134,7 @@
             * (unread / settings_.readTokensPerMilli
                + settings_.millisPerRunning * standing.load());
     candidate.cost += missed / settings_.readTokensPerMilli * settings_.missPenalty
-            + kMillisPerRank * double(rank);
+            + kMillisPerRank * double(std::min(rank, kLastPricedRank));
 }
 
 // What each candidate would have to read. A prompt whose shared parts this router
@@ -216,17 +218,19 @@
     const bool cold = now < chosen.coldUntil || chosen.health.onProbation(now);
     if (cold)
         chosen.pace.take(bearablePerSecond(chosen), fleet_, best->key, now);
-    return Placement { best->key, best->uncached, chosen.load(), best->cost, candidates.size() };
+    const auto rank = static_cast<size_t>(best - candidates.data());
+    const uint32_t unread = request.model.empty() ? 0 : best->uncached;
+    return Placement { best->key, unread, chosen.load(), best->cost, rank,
+                       candidates.size() };
 }
 
-void EndpointBoard::began(EndpointKey key, const PlacementRequest &request)
+void EndpointBoard::began(EndpointKey key, const PlacementRequest &request, uint32_t unreadTokens)
 {
     Standing &standing = standings_[key];
     ++standing.running;
     if (request.model.empty())
         return;
-    const uint32_t cached = standing.cache.cachedTokens(request.prompt);
-    standing.unreadTokens += request.promptTokens - std::min(request.promptTokens, cached);
+    standing.unreadTokens += unreadTokens;
     standing.cache.insert(request.prompt);
 }
 
--- a/routing/endpointboard.h
+++ b/routing/endpointboard.h
@@ -36,8 +36,8 @@
     // An endpoint takes no more than this multiple of the service's mean load plus
     // the allowance. The bound that must hold is 2 and 3; what other routers do in
     // the meantime needs the difference.
-    double loadMultiple = 1.5;
-    double loadAllowance = 2;
+    double loadMultiple = 1.7;
+    double loadAllowance = 2.5;
     // Prompt tokens that an engine reads in a millisecond, before it was observed.
     double readTokensPerMilli = 100;
     // Time to first token that each running request adds, in milliseconds.
@@ -70,6 +70,7 @@
     uint32_t uncachedTokens = 0;
     uint32_t running = 0; // known to run there before this request
     double cost = 0; // milliseconds
+    size_t rank = 0; // in the prompt's rendezvous order; 0 is its first choice
     size_t candidates = 0;
 };
 
@@ -113,14 +114,15 @@
     tl::expected<Placement, PlacementProblem> place(const PlacementRequest &request, Instant now,
                                                     double chance);
 
-    // A request goes to the endpoint now.
-    void began(EndpointKey key, const PlacementRequest &request);
+    // A request goes to the endpoint now. unreadTokens is what the placement expects
+    // it to read there; the same number goes to firstToken() and ended().
+    void began(EndpointKey key, const PlacementRequest &request, uint32_t unreadTokens);
     // Its first token or byte came.
-    void firstToken(EndpointKey key, uint32_t promptTokens, double expectedMillis,
+    void firstToken(EndpointKey key, uint32_t unreadTokens, double expectedMillis,
                     Duration latency);
     // It ended. hadFirstToken tells whether firstToken() was called. True if the
     // endpoint was ejected by this.
-    bool ended(EndpointKey key, uint32_t promptTokens, bool hadFirstToken, Outcome outcome,
+    bool ended(EndpointKey key, uint32_t unreadTokens, bool hadFirstToken, Outcome outcome,
                Duration latency, Instant now);
 
     std::vector<EndpointUse> ownUses() const;
