--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -32,6 +32,9 @@
 // The balancer probes every second and turns away after two misses; a connection
 // that it made just before may bring a request a little later.
 constexpr Duration kBalancerTurnsAway = std::chrono::milliseconds(3500);
+// Requests that come later in a stop are refused: the longest answers need the rest
+// of the time that a platform usually gives.
+constexpr Duration kLastCall = std::chrono::milliseconds(2800);
 // Nothing may have been open for this long before the process ends.
 constexpr Duration kQuiet = std::chrono::milliseconds(300);
 // Share of the time until the platform kills the process that a stop uses.
@@ -336,7 +339,7 @@
         logEvent(LogLevel::Info, "stop_began",
                  { { "open", fmt::to_string(router_ ? router_->openCount() : 0) } });
         if (router_)
-            router_->announceStop();
+            router_->announceStop(stopBegan_ + kLastCall);
         if (replica_ && replica_->maySpeak())
             replica_->handOver();
         const Duration least = router_ ? kBalancerTurnsAway : kHandOver;
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -135,6 +135,13 @@
     });
 }
 
+void DirectRouter::announceStop(Instant lastCall)
+{
+    stopping_ = true;
+    lastCall_ = lastCall;
+    server_->closeIdle();
+}
+
 void DirectRouter::onNews()
 {
     const Instant now = BootClock::now();
@@ -174,6 +181,10 @@
         return false;
     }
     active.caller = std::move(*caller);
+    if (active.arrivedAt > lastCall_) {
+        refuse(active, Refusal::NotReady, "the router stops");
+        return false;
+    }
     active.table = sync_->table();
     if (!active.table) {
         refuse(active, Refusal::NotReady, "no routes are known yet");
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -50,8 +50,9 @@
     void handle(ExchangeId exchange, HttpRequest request);
     // The link to the replicas has news.
     void onNews();
-    // Answers tell callers to close their connections from now on.
-    void announceStop() { stopping_ = true; }
+    // Answers tell callers to close their connections from now on. Requests that come
+    // after lastCall are refused: they might not end before the process does.
+    void announceStop(Instant lastCall);
     // Ends what is still under way, because the process ends.
     void breakAll();
 
@@ -107,6 +108,7 @@
     std::mt19937_64 random_;
     uint64_t rosterSeen_ = 0;
     bool stopping_ = false;
+    Instant lastCall_ = Instant::max();
 };
 
 } // namespace bamboogap
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -173,6 +173,7 @@
 HttpServer::~HttpServer()
 {
     exchanges_.clear();
+    closeIdle();
     evhttp_free(http_);
 }
 
@@ -183,6 +184,7 @@
     bufferevent *buffered = evhttp_connection_get_bufferevent(connection);
     const evutil_socket_t socket = bufferevent_getfd(buffered);
     setNoDelay(socket);
+    server->idle_.erase(connection);
     const timeval readerLimit = toTimeval(server->limits_.slowReader);
     bufferevent_set_timeouts(buffered, nullptr, &readerLimit);
 
@@ -226,7 +228,13 @@
     if (connection) {
         const timeval limit = toTimeval(server->limits_.slowSender);
         bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection), &limit, &limit);
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        server->idle_.insert(connection);
+        evhttp_connection_set_closecb(
+                connection,
+                [](evhttp_connection *closing, void *raw) {
+                    static_cast<HttpServer *>(raw)->idle_.erase(closing);
+                },
+                server);
     }
     exchange->request = nullptr;
     server->exchanges_.erase(exchange->id);
@@ -353,6 +361,16 @@
     exchange->closedHook = std::move(hook);
 }
 
+void HttpServer::closeIdle()
+{
+    const auto idle = std::move(idle_);
+    idle_.clear();
+    for (evhttp_connection *connection : idle) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        evhttp_connection_free(connection);
+    }
+}
+
 void HttpServer::setLimits(const HttpLimits &limits)
 {
     limits_ = limits;
--- a/node/httpserver.h
+++ b/node/httpserver.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "node/settings.h"
 
 struct evhttp;
+struct evhttp_connection;
 struct evhttp_bound_socket;
 struct evhttp_request;
 
@@ -85,6 +87,9 @@
     size_t openCount() const { return exchanges_.size(); }
     // Holds for connections made from now on, and for the idle time of all.
     void setLimits(const HttpLimits &limits);
+    // Closes the connections that have brought a request before and now wait for
+    // another one. A request that crosses the close was not read.
+    void closeIdle();
     // Stops accepting connections; open ones go on.
     void stopAccepting();
 
@@ -105,6 +110,7 @@
     evhttp_bound_socket *bound_ = nullptr;
     ExchangeId lastId_ = 0;
     std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
+    std::set<evhttp_connection *> idle_;
 };
 
 } // namespace bamboogap
