--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -32,9 +32,19 @@
 // An answer of the endpoint itself at the deadline comes before ours.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(60);
 constexpr Duration kNoRouteTimeout = std::chrono::seconds(30);
-// Callers that were refused for lack of a free place return after this, spread.
-constexpr Duration kRetryAfterLeast = std::chrono::milliseconds(200);
-constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(400);
+// When refused callers are told to return, least and spread: a place is free again
+// after the mean time of a few requests; a restarted fleet serves again when a leader
+// is elected and endpoints have announced themselves; a stopping router is left at once.
+struct ReturnTime
+{
+    Duration least;
+    Duration spread;
+};
+constexpr ReturnTime kWhenPlaceFree { std::chrono::milliseconds(250),
+                                      std::chrono::milliseconds(400) };
+constexpr ReturnTime kWhenFleetReady { std::chrono::milliseconds(1500),
+                                       std::chrono::milliseconds(1000) };
+constexpr ReturnTime kAtOnce { std::chrono::milliseconds(20), std::chrono::milliseconds(80) };
 
 Fingerprint fingerprintOf(const HttpRequest &request, std::string_view accessKey)
 {
@@ -259,7 +269,9 @@
         return;
     }
     waiting_.erase(active.id);
-    refuse(active, Refusal::NoCapacity, problem);
+    refuse(active,
+           placed.error() == PlacementProblem::NoEndpoint ? Refusal::NotReady : Refusal::NoCapacity,
+           problem);
 }
 
 void DirectRouter::placeWaiting()
@@ -532,11 +544,12 @@
     erase(id);
 }
 
-std::optional<Duration> DirectRouter::retryAfter(const Active &active) const
+Duration DirectRouter::returnTime(Refusal refusal)
 {
-    std::mt19937_64 spread(hashBytes(active.caller.id));
-    return kRetryAfterLeast
-            + scaled(kRetryAfterSpread, std::uniform_real_distribution<double>(0, 1)(spread));
+    ReturnTime time = refusal == Refusal::NoCapacity ? kWhenPlaceFree : kWhenFleetReady;
+    if (stopping_)
+        time = kAtOnce;
+    return time.least + scaled(time.spread, chance());
 }
 
 void DirectRouter::refuse(Active &active, Refusal refusal, std::string_view reason)
@@ -556,7 +569,7 @@
         return;
     case Refusal::NotReady:
     case Refusal::NoCapacity:
-        replyOwn(active, 503, "no_capacity", reason, retryAfter(active));
+        replyOwn(active, 503, "no_capacity", reason, returnTime(refusal));
         return;
     }
 }
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -89,7 +89,7 @@
     void armTimer(Active &active, Instant at);
     Instant attemptLimit(const Active &active) const;
     bool mayRunAgain(const Active &active) const;
-    std::optional<Duration> retryAfter(const Active &active) const;
+    Duration returnTime(Refusal refusal);
     PlacementRequest placementRequest(const Active &active) const;
     void placeWaiting();
     double chance();
--- a/node/peers.cc
+++ b/node/peers.cc
@@ -11,7 +11,9 @@
 
 namespace {
 
-constexpr Duration kConnectLimit = std::chrono::seconds(2);
+// A machine that is back after a loss of power is found within this; two regions
+// are at most 150 ms apart.
+constexpr Duration kConnectLimit = std::chrono::milliseconds(500);
 // A message is at most 256 MB (a snapshot of the control state); a peer that
 // sends nonsense is cut off at this.
 constexpr uint64_t kMaxMessageWords = (256ULL << 20) / sizeof(capnp::word);
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -17,8 +17,12 @@
 // replica that needs longer is cut off or stands still.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(900);
 constexpr Duration kRoutesLimit = std::chrono::seconds(3);
-// Between attempts at a replica that did not answer.
-constexpr Duration kRetryAfter = std::chrono::milliseconds(700);
+// A replica that has not answered yet is given less time: while its machine has no
+// power, connecting hangs, and a new attempt succeeds as soon as it is back.
+constexpr Duration kFirstAnswerLimit = std::chrono::milliseconds(350);
+// Between attempts at a replica that did not answer; doubled up to the longest.
+constexpr Duration kRetryFirst = std::chrono::milliseconds(100);
+constexpr Duration kRetryLongest = std::chrono::milliseconds(1600);
 // A replica that did not answer for this long no longer vouches for endpoints.
 constexpr Duration kReplicaLost = std::chrono::milliseconds(2500);
 // A router that starts while no leader is found serves by any replica's routes
@@ -139,7 +143,8 @@
     }
     const size_t sent = crashes_.size();
     link.inFlight = true;
-    loop_.detach(loop_.within(kAnswerLimit, call.send())
+    const Duration limit = link.reachable ? kAnswerLimit : kFirstAnswerLimit;
+    loop_.detach(loop_.within(limit, call.send())
                          .then(
                                  [this, address, sent](auto &&response) {
                                      links_[address].crashesSent = sent;
@@ -155,7 +160,8 @@
 {
     ReplicaLink &link = links_[address];
     link.inFlight = false;
-    link.askAgainAt = BootClock::now() + kRetryAfter;
+    link.retryAfter = std::clamp(link.retryAfter * 2, kRetryFirst, kRetryLongest);
+    link.askAgainAt = BootClock::now() + link.retryAfter;
     peers_.drop(address, Lane::Control);
     if (!link.reachable)
         return;
@@ -172,6 +178,7 @@
     ReplicaLink &link = links_[address];
     link.inFlight = false;
     link.answeredAt = now;
+    link.retryAfter = {};
     if (!link.reachable) {
         link.reachable = true;
         logEvent(LogLevel::Info, "replica_reached",
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -85,6 +85,7 @@
         uint64_t suspectsVersion = 0;
         Instant answeredAt {};
         Instant askAgainAt {};
+        Duration retryAfter {};
         size_t crashesSent = 0; // of crashes_ that the replica has
     };
 
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -25,6 +25,10 @@
 // A cold endpoint costs this much more, in milliseconds, so that prompts do not come
 // and go with the pace that it bears.
 constexpr double kColdMillis = 150;
+// An endpoint that is newer than this to the router holds no prompt that was placed
+// before it came: every router has seen most prompts in use by then and knows where
+// they are.
+constexpr Duration kSettled = std::chrono::seconds(20);
 // A request to another data centre costs this much more, in milliseconds: two
 // crossings, and the price of bytes between data centres.
 constexpr double kOtherDataCentreMillis = 2.5;
@@ -73,6 +77,8 @@
         standing.dataCentre = record.dataCentre;
         standing.service = record.service;
         standing.bornMillis = record.bornMillis;
+        if (reborn)
+            standing.firstSeen = now;
         standing.slots = std::max(1U, record.slots);
         standing.models = record.models;
         standing.coldUntil = std::max(standing.coldUntil, endpoint.coldUntil);
@@ -152,8 +158,13 @@
     }
     if (known)
         return;
-    const auto first = std::find_if(candidates.begin(), candidates.end(),
-                                    [](const Candidate &candidate) { return !candidate.cold; });
+    auto first = std::find_if(candidates.begin(), candidates.end(), [](const auto &candidate) {
+        return !candidate.cold && candidate.settled;
+    });
+    if (first == candidates.end()) {
+        first = std::find_if(candidates.begin(), candidates.end(),
+                             [](const auto &candidate) { return !candidate.cold; });
+    }
     if (first != candidates.end())
         first->uncached = std::min(first->uncached, own);
 }
@@ -184,7 +195,8 @@
             sawCold = true;
             continue;
         }
-        candidates.push_back({ key, &standing, request.promptTokens, 0, cold });
+        candidates.push_back({ key, &standing, request.promptTokens, 0, cold,
+                               now - standing.firstSeen > kSettled });
     }
     if (candidates.empty() && !sawCold)
         candidates = std::move(ejected);
--- a/routing/endpointboard.h
+++ b/routing/endpointboard.h
@@ -36,8 +36,8 @@
     // An endpoint takes no more than this multiple of the service's mean load plus
     // the allowance. The bound that must hold is 2 and 3; what other routers do in
     // the meantime needs the difference.
-    double loadMultiple = 1.7;
-    double loadAllowance = 2.5;
+    double loadMultiple = 1.85;
+    double loadAllowance = 2.8;
     // Prompt tokens that an engine reads in a millisecond, before it was observed.
     double readTokensPerMilli = 100;
     // Time to first token that each running request adds, in milliseconds.
@@ -89,6 +89,7 @@
         bool usable = false;
         bool out = false; // its data centre is out of service
         Instant coldUntil {};
+        Instant firstSeen {};
         uint32_t running = 0;
         uint32_t unreadTokens = 0;
         uint32_t othersRunning = 0;
@@ -139,6 +140,7 @@
         uint32_t uncached = 0;
         double cost = 0;
         bool cold = false;
+        bool settled = true; // known for long enough to hold others' prompts
     };
 
     double bearablePerSecond(const Standing &standing) const;
--- a/routing/endpointhealth.cc
+++ b/routing/endpointhealth.cc
@@ -33,15 +33,23 @@
         breaksInRow_ = kBreaksToEject;
         break;
     }
-    const double samples = succeeded_ + failed_;
-    const bool outlier = samples >= kLeastSamples
-            && failed_ / samples > peerFailureShare + kExcessShare;
+    const bool outlier = isOutlier(peerFailureShare);
     if (isEjected(now) || (!mayEject && outcome != Outcome::Unreachable) || (breaksInRow_ < kBreaksToEject && !outlier && !probation_))
         return false;
     eject(now);
     return true;
 }
 
+// More failures than chance would give an endpoint like its peers.
+bool EndpointHealth::isOutlier(double peerFailureShare) const
+{
+    const double samples = succeeded_ + failed_;
+    const double usual = std::clamp(peerFailureShare, kLeastUsualShare, 1 - kLeastUsualShare);
+    const double expected = samples * usual;
+    const double deviation = std::sqrt(expected * (1 - usual));
+    return failed_ > expected + kOutlierDeviations * deviation + kSpareFailures;
+}
+
 double EndpointHealth::failureShare(Instant now) const
 {
     EndpointHealth current = *this;
--- a/routing/endpointhealth.h
+++ b/routing/endpointhealth.h
@@ -29,10 +29,12 @@
 public:
     // Breaks in a row that eject an endpoint.
     static constexpr uint32_t kBreaksToEject = 3;
-    // Samples before the share of failures counts.
-    static constexpr double kLeastSamples = 6;
-    // Failures above the peers' share that eject an endpoint.
-    static constexpr double kExcessShare = 0.25;
+    // Failures beyond what the peers' share explains, in standard deviations and in
+    // requests, that eject an endpoint.
+    static constexpr double kOutlierDeviations = 3;
+    static constexpr double kSpareFailures = 1.5;
+    // Peers without any failure count as failing this share.
+    static constexpr double kLeastUsualShare = 0.03;
     static constexpr Duration kFirstEjection = std::chrono::milliseconds(800);
     static constexpr Duration kLongestEjection = std::chrono::seconds(6);
     // Outcomes lose half their weight in this time.
@@ -49,6 +51,7 @@
     double failureShare(Instant now) const;
 
 private:
+    bool isOutlier(double peerFailureShare) const;
     void decay(Instant now);
     void eject(Instant now);
 
