--- /dev/null
+++ b/fleet/testing/roster_test.cc
@@ -0,0 +1,172 @@
+// Rosters and router boards of a direct fleet.
+
+#include <catch2/catch.hpp>
+
+#include "fleet/roster.h"
+#include "fleet/routerboard.h"
+
+namespace bamboogap {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart { seconds(1000) };
+
+EndpointRecord record(std::string id, uint64_t sequence, int64_t born = 1)
+{
+    EndpointRecord made;
+    made.id = std::move(id);
+    made.bornMillis = born;
+    made.sequence = sequence;
+    made.service = "engines";
+    made.address = "10.0.0.1:80";
+    made.dataCentre = "dc1";
+    made.slots = 8;
+    return made;
+}
+
+struct Fixture
+{
+    HeardRoster heard { 7, seconds(5) };
+    MergedRoster merged;
+    uint64_t epoch = 0;
+    uint64_t version = 0;
+
+    void pass(Instant now, std::string_view replica = "r1")
+    {
+        const auto changes = heard.changesSince(epoch, version, now);
+        epoch = changes.epoch;
+        version = changes.version;
+        merged.apply(replica, changes, now);
+    }
+    bool usable(std::string_view id, Instant now) const
+    {
+        const auto *found = merged.find(id);
+        return found && merged.mayUse(*found, now);
+    }
+};
+
+TEST_CASE("a delayed heartbeat changes nothing")
+{
+    Fixture fixture;
+    EndpointRecord draining = record("e1", 9);
+    draining.state = EndpointState::Draining;
+    fixture.heard.heartbeat(draining, kStart);
+    fixture.heard.heartbeat(record("e1", 8), kStart + seconds(1));
+    fixture.pass(kStart + seconds(1));
+    CHECK_FALSE(fixture.usable("e1", kStart + seconds(1)));
+
+    // A later incarnation starts its sequence anew.
+    fixture.heard.heartbeat(record("e1", 1, 2), kStart + seconds(2));
+    fixture.pass(kStart + seconds(2));
+    CHECK(fixture.usable("e1", kStart + seconds(2)));
+    fixture.heard.heartbeat(record("e1", 50, 1), kStart + seconds(3));
+    fixture.pass(kStart + seconds(3));
+    CHECK(fixture.merged.find("e1")->record.bornMillis == 2);
+}
+
+TEST_CASE("a departure is the last word of its incarnation")
+{
+    Fixture fixture;
+    fixture.heard.heartbeat(record("e1", 3), kStart);
+    fixture.heard.leave("e1", 500, kStart + seconds(1));
+    fixture.heard.heartbeat(record("e1", 4), kStart + seconds(2));
+    fixture.pass(kStart + seconds(2));
+    CHECK_FALSE(fixture.usable("e1", kStart + seconds(2)));
+    fixture.heard.heartbeat(record("e1", 1, 600), kStart + seconds(3));
+    fixture.pass(kStart + seconds(3));
+    CHECK(fixture.usable("e1", kStart + seconds(3)));
+}
+
+TEST_CASE("a departure heard by a replica that never heard the endpoint counts")
+{
+    Fixture fixture;
+    fixture.heard.heartbeat(record("e1", 3, 100), kStart);
+    fixture.pass(kStart, "r1");
+    HeardRoster other(9, seconds(5));
+    other.leave("e1", 500, kStart + seconds(1));
+    fixture.merged.apply("r2", other.changesSince(0, 0, kStart + seconds(1)), kStart + seconds(1));
+    CHECK_FALSE(fixture.usable("e1", kStart + seconds(1)));
+}
+
+TEST_CASE("an endpoint is silent only when no replica hears it")
+{
+    Fixture fixture;
+    HeardRoster other(9, seconds(5));
+    fixture.heard.heartbeat(record("e1", 3), kStart);
+    other.heartbeat(record("e1", 4), kStart + seconds(5));
+    fixture.heard.tick(kStart + seconds(6));
+    fixture.pass(kStart + seconds(6), "r1");
+    fixture.merged.apply("r2", other.changesSince(0, 0, kStart + seconds(6)), kStart + seconds(6));
+    CHECK(fixture.usable("e1", kStart + seconds(6)));
+
+    other.tick(kStart + seconds(11));
+    fixture.merged.apply("r2", other.changesSince(9, 1, kStart + seconds(11)), kStart + seconds(11));
+    CHECK_FALSE(fixture.usable("e1", kStart + seconds(12)));
+    // An answer to this router is better evidence than replicas that hear nothing.
+    fixture.merged.answered("e1", kStart + seconds(12));
+    CHECK(fixture.usable("e1", kStart + seconds(12)));
+}
+
+TEST_CASE("without replicas a router keeps what it knows for a while")
+{
+    Fixture fixture;
+    fixture.heard.heartbeat(record("e1", 3), kStart);
+    fixture.pass(kStart);
+    CHECK(fixture.usable("e1", kStart + seconds(600)));
+    // A lost replica does not vouch any more.
+    fixture.merged.replicaLost("r1");
+    CHECK(fixture.usable("e1", kStart + seconds(10)));
+    CHECK_FALSE(fixture.usable("e1", kStart + seconds(13)));
+}
+
+TEST_CASE("an address belongs to its newest endpoint")
+{
+    Fixture fixture;
+    fixture.heard.heartbeat(record("e1", 3, 100), kStart);
+    fixture.heard.heartbeat(record("e2", 1, 200), kStart + seconds(1));
+    fixture.pass(kStart + seconds(1));
+    CHECK_FALSE(fixture.usable("e1", kStart + seconds(1)));
+    CHECK(fixture.usable("e2", kStart + seconds(1)));
+}
+
+TEST_CASE("steady heartbeats cost no messages, a new warm-up does")
+{
+    Fixture fixture;
+    fixture.heard.heartbeat(record("e1", 1), kStart);
+    fixture.pass(kStart);
+    for (int i = 2; i < 10; ++i)
+        fixture.heard.heartbeat(record("e1", i), kStart + seconds(i));
+    CHECK(fixture.heard.changesSince(fixture.epoch, fixture.version, kStart).records.empty());
+    EndpointRecord cold = record("e1", 11);
+    cold.warmupLeftMillis = 3000;
+    fixture.heard.heartbeat(cold, kStart + seconds(11));
+    fixture.pass(kStart + seconds(11));
+    CHECK(fixture.merged.find("e1")->coldUntil == kStart + seconds(14));
+}
+
+TEST_CASE("a router sees what the others have under way")
+{
+    RouterBoard board;
+    board.report({ "a", 1, "dc1", 1, { { 5, 2, 100 }, { 6, 1, 0 } } }, kStart);
+    board.report({ "b", 1, "dc1", 1, { { 5, 3, 50 } } }, kStart);
+    board.report({ "c", 1, "dc1", 1, {} }, kStart);
+    const auto others = board.usesOfOthers("c", kStart);
+    REQUIRE(others.size() == 2);
+    CHECK(others[0] == EndpointUse { 5, 5, 150 });
+    CHECK(board.usesOfOthers("a", kStart) == std::vector<EndpointUse> { { 5, 3, 50 } });
+    CHECK(board.aliveCount(kStart) == 3);
+    CHECK(board.rankOf("c", kStart) == 2);
+
+    // A process before the present one, a lost router and one that left do not count.
+    board.report({ "a", 0, "dc1", 1, { { 5, 90, 0 } } }, kStart);
+    board.leave("b");
+    CHECK(board.usesOfOthers("c", kStart) == std::vector<EndpointUse> { { 5, 2, 100 }, { 6, 1, 0 } });
+    const Instant later = kStart + RouterBoard::kAlive + milliseconds(1);
+    CHECK(board.usesOfOthers("c", later).empty());
+    CHECK(board.aliveCount(later) == 0);
+}
+
+} // namespace
+} // namespace bamboogap
--- /dev/null
+++ b/routing/testing/direct_test.cc
@@ -0,0 +1,397 @@
+// Decisions of a direct router: routes, placement, health, cold pace, repeats.
+
+#include <random>
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "routing/endpointboard.h"
+#include "routing/eventstream.h"
+#include "routing/retrywindow.h"
+
+namespace bamboogap {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart { seconds(1000) };
+
+RouteTable::Content content()
+{
+    RouteTable::Content made;
+    made.version = 3;
+    made.services = { { "engines", "/healthz", 100, seconds(3), 10, EngineProfile { 8, 100000 } },
+                      { "plain", "/healthz", 100, {}, 0, std::nullopt } };
+    Route route;
+    route.name = "r1";
+    route.host = "a.example";
+    route.pathPrefix = "/x/";
+    route.timeout = seconds(1);
+    route.targets = { { "plain", 1 } };
+    made.routes.push_back(route);
+    route.name = "r2";
+    route.pathPrefix = "/x/y/";
+    route.targets = { { "engines", 3 }, { "plain", 1 } };
+    made.routes.push_back(route);
+    made.workspaces = { { "w1", { "k1", "k2" }, 1 }, { "w2", { "k3" }, std::nullopt } };
+    return made;
+}
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    const auto table = RouteTable::build(content());
+    REQUIRE(table);
+    CHECK(table->match("a.example", "/x/y/z")->name == "r2");
+    CHECK(table->match("a.example", "/x/yz")->name == "r1");
+    CHECK(table->match("a.example", "/xy/") == nullptr);
+    CHECK(table->match("b.example", "/x/") == nullptr);
+    CHECK(table->workspaceOfKey("k2")->name == "w1");
+    CHECK(table->workspaceOfKey("k4") == nullptr);
+    const Route &split = *table->match("a.example", "/x/y/z");
+    CHECK(targetAt(split, 0.74).service == "engines");
+    CHECK(targetAt(split, 0.76).service == "plain");
+}
+
+TEST_CASE("an invalid table is refused with its place")
+{
+    const auto refused = [](auto change) {
+        RouteTable::Content made = content();
+        change(made);
+        const auto built = RouteTable::build(made);
+        return built ? std::string() : built.error().message;
+    };
+    CHECK(refused([](auto &made) { made.routes[0].targets[0].service = "none"; })
+          == "route 'r1': there is no service 'none'");
+    CHECK(refused([](auto &made) { made.routes[1].pathPrefix = "/x/"; }).find("'r2'")
+          != std::string::npos);
+    CHECK(refused([](auto &made) { made.routes[0].targets[0].weight = 0; })
+          == "route 'r1': the weights add up to 0");
+    CHECK(refused([](auto &made) { made.routes[0].timeout = {}; })
+          == "route 'r1': the timeout is 0");
+    CHECK(refused([](auto &made) { made.workspaces[1].keys.push_back("k1"); })
+          == "workspaces 'w1' and 'w2' share a key");
+    CHECK(refused([](auto &made) { made.routes[0].pathPrefix = "/x"; }).find("slash")
+          != std::string::npos);
+}
+
+// A service of engines and a router that places on it.
+struct Site
+{
+    HeardRoster heard { 1, seconds(5) };
+    MergedRoster merged;
+    RouteTable table = *RouteTable::build(content());
+    EndpointBoard board;
+    std::set<std::string> out;
+    uint64_t version = 0;
+
+    explicit Site(int engines, Instant now = kStart)
+    {
+        for (int i = 0; i < engines; ++i)
+            announce(i, now);
+        refresh(now);
+    }
+    void announce(int i, Instant now, uint32_t warmupMillis = 0)
+    {
+        EndpointRecord record;
+        record.id = "e" + std::to_string(i);
+        record.sequence = ++sequence;
+        record.service = "engines";
+        record.address = "10.0.0." + std::to_string(i + 1) + ":80";
+        record.dataCentre = i % 2 == 0 ? "dc1" : "dc2";
+        record.slots = 8;
+        record.warmupLeftMillis = warmupMillis;
+        record.models = { { "m", 1 } };
+        heard.heartbeat(record, now);
+    }
+    void refresh(Instant now)
+    {
+        const auto changes = heard.changesSince(1, version, now);
+        version = changes.version;
+        merged.apply("r", changes, now);
+        board.update(merged, out, &table, now);
+    }
+    PlacementRequest request(std::span<const PrefixPart> prompt) const
+    {
+        PlacementRequest made;
+        made.service = "engines";
+        made.model = "m";
+        made.prompt = prompt;
+        for (const PrefixPart &part : prompt)
+            made.promptTokens += part.tokens;
+        made.dataCentre = "dc1";
+        return made;
+    }
+    std::string idOf(EndpointKey key) const { return board.find(key)->id; }
+
+    uint64_t sequence = 0;
+};
+
+std::vector<PrefixPart> prompt(uint64_t document, uint64_t own)
+{
+    return { { 1, 500 }, { document, 10000 }, { own, 300 } };
+}
+
+// Load pattern: many short requests that share long prompt starts, seen by several
+// routers that do not know of each other's placements.
+TEST_CASE("routers place a shared prompt at the same endpoint")
+{
+    Site first(8);
+    Site second(8);
+    for (uint64_t document = 100; document < 140; ++document) {
+        const auto a = prompt(document, 1);
+        const auto b = prompt(document, 2);
+        const auto placedA = first.board.place(first.request(a), kStart, 0.1);
+        const auto placedB = second.board.place(second.request(b), kStart, 0.9);
+        REQUIRE(placedA);
+        REQUIRE(placedB);
+        CHECK(placedA->key == placedB->key);
+    }
+}
+
+// Load pattern: the same, while placements end; backlogs must not add up.
+TEST_CASE("reading tokens are taken back as they were added")
+{
+    Site site(4);
+    for (uint64_t i = 0; i < 200; ++i) {
+        const auto asked = prompt(100 + i % 5, 1000 + i);
+        const auto placed = site.board.place(site.request(asked), kStart, 0.5);
+        REQUIRE(placed);
+        site.board.began(placed->key, site.request(asked), placed->uncachedTokens);
+        const bool first = i % 3 != 0;
+        if (first)
+            site.board.firstToken(placed->key, placed->uncachedTokens, placed->cost,
+                                  milliseconds(20));
+        site.board.ended(placed->key, placed->uncachedTokens, first,
+                         first ? Outcome::Succeeded : Outcome::Abandoned, milliseconds(50), kStart);
+    }
+    for (const auto &[key, standing] : site.board.standings()) {
+        CHECK(standing.unreadTokens == 0);
+        CHECK(standing.running == 0);
+    }
+}
+
+TEST_CASE("a prompt stays where it was read when new endpoints come")
+{
+    Site site(4);
+    std::map<uint64_t, EndpointKey> places;
+    for (uint64_t document = 100; document < 130; ++document) {
+        const auto asked = prompt(document, 1);
+        const auto placed = site.board.place(site.request(asked), kStart, 0.5);
+        places[document] = placed->key;
+        if (document % 2 == 0) { // the others were placed by other routers
+            site.board.began(placed->key, site.request(asked), placed->uncachedTokens);
+            site.board.ended(placed->key, placed->uncachedTokens, false, Outcome::Succeeded,
+                             milliseconds(5), kStart);
+        }
+    }
+    const Instant later = kStart + seconds(30);
+    for (int i = 4; i < 8; ++i)
+        site.announce(i, later);
+    site.refresh(later);
+    for (const auto &[document, key] : places) {
+        const auto again = prompt(document, 2);
+        CHECK(site.board.place(site.request(again), later, 0.5)->key == key);
+    }
+}
+
+// Load pattern: one prompt gets much of the traffic.
+TEST_CASE("a hot prompt spreads before it exceeds the load bound")
+{
+    Site site(6);
+    for (uint64_t i = 0; i < 120; ++i) {
+        const auto asked = prompt(100, 1000 + i);
+        const auto placed = site.board.place(site.request(asked), kStart, 0.3);
+        REQUIRE(placed);
+        site.board.began(placed->key, site.request(asked), placed->uncachedTokens);
+        double sum = 0;
+        uint32_t most = 0;
+        for (const auto &[key, standing] : site.board.standings()) {
+            sum += standing.load();
+            most = std::max(most, standing.load());
+        }
+        CHECK(most <= 2 * sum / 6 + 3);
+    }
+}
+
+TEST_CASE("endpoints that drain, are out or were tried get nothing")
+{
+    Site site(2);
+    const auto asked = prompt(100, 1);
+    site.out = { "dc1" };
+    site.refresh(kStart);
+    for (int i = 0; i < 10; ++i)
+        CHECK(site.idOf(site.board.place(site.request(asked), kStart, i / 10.0)->key) == "e1");
+    PlacementRequest again = site.request(asked);
+    const std::set<EndpointKey> tried { endpointKey("e1") };
+    again.avoid = &tried;
+    CHECK(site.board.place(again, kStart, 0).error() == PlacementProblem::NoEndpoint);
+
+    // Back in service it counts as cold for the warm-up.
+    site.out.clear();
+    site.refresh(kStart);
+    CHECK(site.board.find(endpointKey("e0"))->coldUntil == kStart + seconds(3));
+}
+
+TEST_CASE("a router's share of a cold endpoint holds for every fleet size")
+{
+    for (const uint32_t routers : { 1U, 3U, 7U, 40U, 410U }) {
+        constexpr double kBearable = 12;
+        uint32_t sent = 0;
+        std::vector<ColdPace> paces(routers);
+        for (Instant now = kStart; now < kStart + seconds(1); now += milliseconds(5)) {
+            for (uint32_t rank = 0; rank < routers; ++rank)
+                sent += paces[rank].take(kBearable, { routers, rank }, 77, now);
+        }
+        // The bound on what all routers send in a second.
+        CHECK(sent <= kBearable * 1.5 + 5);
+        CHECK(sent > 0);
+    }
+}
+
+TEST_CASE("only cold endpoints left: refused as such once the pace is used up")
+{
+    Site site(0);
+    site.announce(0, kStart, 3000);
+    site.refresh(kStart);
+    const auto asked = prompt(100, 1);
+    REQUIRE(site.board.place(site.request(asked), kStart, 0));
+    CHECK(site.board.place(site.request(asked), kStart, 0).error() == PlacementProblem::Cold);
+    CHECK(site.board.place(site.request(asked), kStart + seconds(1), 0));
+}
+
+// Load pattern: an endpoint breaks part of its requests while its health is good.
+TEST_CASE("an endpoint that breaks its requests is ejected and readmitted singly")
+{
+    Site site(5);
+    const EndpointKey bad = endpointKey("e0");
+    bool ejected = false;
+    for (int i = 0; i < 3; ++i) {
+        site.board.began(bad, site.request({}), 0);
+        ejected = site.board.ended(bad, 0, false, Outcome::Broken, milliseconds(5), kStart);
+    }
+    CHECK(ejected);
+    for (uint64_t document = 100; document < 200; ++document) {
+        const auto asked = prompt(document, 1);
+        CHECK(site.board.place(site.request(asked), kStart, 0.5)->key != bad);
+    }
+    const Instant later = kStart + EndpointHealth::kFirstEjection + milliseconds(1);
+    CHECK(site.board.find(bad)->health.onProbation(later));
+    site.board.began(bad, site.request({}), 0);
+    CHECK(site.board.ended(bad, 0, false, Outcome::Broken, milliseconds(5), later));
+    CHECK(site.board.find(bad)->health.isEjected(later + EndpointHealth::kFirstEjection));
+    const Instant last = later + 2 * EndpointHealth::kFirstEjection + milliseconds(1);
+    site.board.began(bad, site.request({}), 0);
+    site.board.ended(bad, 0, true, Outcome::Succeeded, milliseconds(5), last);
+    CHECK_FALSE(site.board.find(bad)->health.onProbation(last));
+}
+
+// Load pattern: all endpoints of a service fail alike.
+TEST_CASE("endpoints that fail like their peers stay, and some always stay")
+{
+    Site site(10);
+    std::mt19937 random(5);
+    for (int i = 0; i < 3000; ++i) {
+        const EndpointKey key = endpointKey("e" + std::to_string(random() % 10));
+        const Instant now = kStart + milliseconds(i * 3);
+        site.board.began(key, site.request({}), 0);
+        const Outcome outcome = random() % 100 < 45 ? Outcome::Failed : Outcome::Succeeded;
+        site.board.ended(key, 0, true, outcome, milliseconds(5), now);
+        int ejected = 0;
+        for (const auto &[other, standing] : site.board.standings())
+            ejected += standing.health.isEjected(now);
+        REQUIRE(ejected <= 4);
+    }
+}
+
+TEST_CASE("repeats of all routers stay within the fleet's limit in every window")
+{
+    constexpr uint32_t kRouters = 6;
+    RetryWindowSettings settings { 0.2, 52, seconds(10) };
+    std::vector<RetryWindow> routers(kRouters, RetryWindow(settings));
+    std::vector<Instant> repeats;
+    std::vector<Instant> requests;
+    std::mt19937 random(3);
+    for (Instant now = kStart; now < kStart + seconds(40); now += milliseconds(10)) {
+        RetryWindow &router = routers[random() % kRouters];
+        const bool burst = (now - kStart) % seconds(20) < seconds(6);
+        for (int i = 0; i < (burst ? 3 : 1); ++i) {
+            router.onRequest(now);
+            requests.push_back(now);
+            while (router.take(kRouters, now))
+                repeats.push_back(now);
+        }
+    }
+    const auto within = [](const std::vector<Instant> &list, Instant from, Duration length) {
+        return std::count_if(list.begin(), list.end(),
+                             [&](Instant at) { return at >= from && at < from + length; });
+    };
+    REQUIRE_FALSE(repeats.empty());
+    for (Instant from = kStart; from < kStart + seconds(30); from += milliseconds(100)) {
+        const double most = std::max({ within(requests, from, settings.window),
+                                       within(requests, from - settings.window, settings.window),
+                                       within(requests, from - settings.window / 2,
+                                              settings.window) });
+        CHECK(within(repeats, from, settings.window)
+              <= settings.ratio * most + settings.slack);
+    }
+}
+
+// The cache belief against a plain list of what was inserted, newest first.
+TEST_CASE("beliefs about a prefix cache follow least recent use", "[fuzz]")
+{
+    rc::prop("cachedTokens() agrees with a plain model", [](uint16_t seed) {
+        constexpr uint64_t kCapacity = 3000;
+        std::mt19937 random(seed);
+        PrefixCache cache(kCapacity);
+        std::vector<std::pair<std::vector<uint64_t>, uint32_t>> model; // chain and tokens
+        for (int i = 0; i < 60; ++i) {
+            std::vector<PrefixPart> asked { { random() % 3, 200 }, { 10 + random() % 6, 500 } };
+            if (random() % 2)
+                asked.push_back({ 100 + random() % 50, 100 });
+            uint32_t expected = 0;
+            std::vector<uint64_t> chain;
+            for (const PrefixPart &part : asked) {
+                chain.push_back(part.id);
+                const auto found = std::find_if(model.begin(), model.end(), [&](const auto &item) {
+                    return item.first == chain;
+                });
+                if (found == model.end())
+                    break;
+                expected += part.tokens;
+            }
+            RC_ASSERT(cache.cachedTokens(asked) == expected);
+            cache.insert(asked);
+            chain.clear();
+            for (const PrefixPart &part : asked) {
+                chain.push_back(part.id);
+                std::erase_if(model, [&](const auto &item) { return item.first == chain; });
+                model.insert(model.begin(), { chain, part.tokens });
+            }
+            const auto total = [&] {
+                uint64_t sum = 0;
+                for (const auto &item : model)
+                    sum += item.second;
+                return sum;
+            };
+            while (total() > kCapacity)
+                model.pop_back();
+            RC_ASSERT(cache.tokens() == total());
+        }
+    });
+}
+
+TEST_CASE("an event stream knows the id to resume from")
+{
+    EventStream events;
+    CHECK(events.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(events.lastId() == "1");
+    CHECK(events.hasPartial());
+    CHECK(events.feed("ta: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(events.lastId() == "2");
+    CHECK_FALSE(events.hasPartial());
+}
+
+} // namespace
+} // namespace bamboogap
