Old join requests are forgotten; route documents are compressed

Change: JoinRequests (red first: control/testing/membership_test.cc), zlib for documents, one parse an order.

--- a/control/deployment.h
+++ b/control/deployment.h
@@ -1,8 +1,9 @@
 // What operators set as a whole: the route document and the data centres that
 // are out of service.
 //
-// The document is kept as the text that the operator sent, so that it can be
-// read back unchanged; routers parse it into a RouteTable. The highest version
+// The document is the text that the operator sent, compressed, so that it can be read
+// back unchanged and a large one does not hold up the log; routers parse it into a
+// RouteTable. The highest version
 // wins: installing an older or the same version again changes nothing, which
 // makes resends and crossed changes harmless.
 
@@ -32,6 +33,7 @@
     uint64_t revision() const { return revision_; }
     // 0 while no document was installed.
     uint64_t version() const { return version_; }
+    // Compressed; see base/compress.h.
     const std::string &document() const { return document_; }
     const std::set<std::string> &dataCentresOut() const { return dataCentresOut_; }
 
--- a/control/membership.cc
+++ b/control/membership.cc
@@ -43,6 +43,26 @@
 
 } // namespace
 
+void JoinRequests::ask(const Joining &replica, Instant now)
+{
+    if (joining_.count(replica.id) == 0)
+        forget(replica.name);
+    joining_[replica.id] = replica;
+    askedAt_[replica.id] = now;
+}
+
+void JoinRequests::forget(std::string_view name)
+{
+    std::erase_if(joining_, [&](const auto &item) { return item.second.name == name; });
+    std::erase_if(askedAt_, [&](const auto &item) { return joining_.count(item.first) == 0; });
+}
+
+void JoinRequests::expire(Instant now)
+{
+    std::erase_if(askedAt_, [now](const auto &item) { return now - item.second > kKept; });
+    std::erase_if(joining_, [&](const auto &item) { return askedAt_.count(item.first) == 0; });
+}
+
 std::optional<Membership> nextMembership(const Membership &current,
                                          const std::map<ReplicaId, Joining> &joining,
                                          const std::function<LogIndex(ReplicaId)> &matchIndex,
--- a/control/membership.h
+++ b/control/membership.h
@@ -26,6 +26,27 @@
     std::string address;
 };
 
+// The replicas that ask to join, as a leader hears them. A replica asks again and
+// again until it votes; one that stopped asking is forgotten, and a replica that
+// lost its disk takes the place of the one it was before, so that a membership which
+// was just repaired is not undone by an old request.
+class JoinRequests
+{
+public:
+    // Forgetting too early only delays a join: several times the interval of asking.
+    static constexpr Duration kKept = std::chrono::seconds(3);
+
+    void ask(const Joining &replica, Instant now);
+    void forget(std::string_view name);
+    void expire(Instant now);
+
+    const std::map<ReplicaId, Joining> &current() const { return joining_; }
+
+private:
+    std::map<ReplicaId, Joining> joining_;
+    std::map<ReplicaId, Instant> askedAt_;
+};
+
 // The next membership to propose so that the joining replicas become voters;
 // nothing if there is nothing to do now. matchIndex tells how far a member's
 // log reaches.
--- a/control/state.h
+++ b/control/state.h
@@ -84,7 +84,7 @@
 struct InstallRoutesCommand
 {
     uint64_t version = 0;
-    std::string document;
+    std::string document; // compressed
 };
 
 // Takes a data centre out of service for direct routers, or back.
--- /dev/null
+++ b/control/testing/membership_test.cc
@@ -0,0 +1,108 @@
+// How a self-managed group repairs its membership.
+
+#include <catch2/catch.hpp>
+
+#include "control/deployment.h"
+#include "control/membership.h"
+
+namespace bamboogap {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart { seconds(1000) };
+
+Membership fiveVoters()
+{
+    Membership group;
+    for (ReplicaId id = 1; id <= 5; ++id)
+        group.members.push_back({ id, "r" + std::to_string(id), "", true });
+    return group;
+}
+
+// Takes every step that is proposed; returns how many there were.
+int settle(Membership &group, const JoinRequests &requests)
+{
+    int steps = 0;
+    const auto caughtUp = [](ReplicaId) { return LogIndex { 100 }; };
+    while (steps < 50) {
+        const auto next = nextMembership(group, requests.current(), caughtUp, 100);
+        if (!next)
+            break;
+        group = *next;
+        ++steps;
+    }
+    return steps;
+}
+
+// Load pattern: a replica loses its disk and returns under its old name; its old id
+// had asked to join when the group was formed. The two ids took each other's place
+// without end, and the group stood with four voters.
+TEST_CASE("a replica that lost its disk replaces its old id once")
+{
+    Membership group = fiveVoters();
+    JoinRequests requests;
+    for (ReplicaId id = 2; id <= 5; ++id)
+        requests.ask({ id, "r" + std::to_string(id), "" }, kStart);
+    CHECK(settle(group, requests) == 0);
+    requests.ask({ 9, "r5", "" }, kStart + seconds(1));
+    CHECK(settle(group, requests) == 3);
+    CHECK(group.voterCount() == 5);
+    CHECK(group.find(5) == nullptr);
+    REQUIRE(group.find(9) != nullptr);
+    CHECK(group.find(9)->voter);
+}
+
+TEST_CASE("a replica that stopped asking is forgotten")
+{
+    JoinRequests requests;
+    requests.ask({ 7, "r7", "" }, kStart);
+    requests.expire(kStart + JoinRequests::kKept);
+    CHECK(requests.current().size() == 1);
+    requests.expire(kStart + JoinRequests::kKept + milliseconds(1));
+    CHECK(requests.current().empty());
+}
+
+TEST_CASE("a lost voter gives way only when a replacement has caught up")
+{
+    const auto lost = [](ReplicaId id) { return id == 3; };
+    LogIndex learnerAt = 0;
+    const auto match = [&](ReplicaId id) { return id == 9 ? learnerAt : LogIndex { 100 }; };
+    Membership group = fiveVoters();
+    CHECK_FALSE(withoutLostVoter(group, 5, lost, match, 100));
+    group.members.push_back({ 9, "r9", "", false });
+    CHECK_FALSE(withoutLostVoter(group, 5, lost, match, 100));
+    learnerAt = 99;
+    const auto next = withoutLostVoter(group, 5, lost, match, 100);
+    REQUIRE(next);
+    CHECK(next->find(3) == nullptr);
+    CHECK(next->voterCount() == 4);
+    // With four voters none is removed: the replacement votes first.
+    CHECK_FALSE(withoutLostVoter(*next, 5, [](ReplicaId id) { return id == 4; }, match, 100));
+    // A replacement that is lost itself does not count.
+    CHECK_FALSE(withoutLostVoter(group, 5, [](ReplicaId id) { return id == 3 || id == 9; }, match,
+                                 100));
+}
+
+TEST_CASE("the highest version wins and resends change nothing")
+{
+    Deployment deployment;
+    CHECK(deployment.install(3, "three"));
+    CHECK_FALSE(deployment.install(3, "other"));
+    CHECK_FALSE(deployment.install(2, "two"));
+    CHECK(deployment.document() == "three");
+    CHECK(deployment.setOut("dc1", true));
+    CHECK_FALSE(deployment.setOut("dc1", true));
+    CHECK(deployment.revision() == 2);
+    const auto loaded = Deployment::load(deployment.save());
+    REQUIRE(loaded);
+    CHECK(loaded->version() == 3);
+    CHECK(loaded->document() == "three");
+    CHECK(loaded->dataCentresOut().count("dc1") == 1);
+    CHECK(loaded->revision() == 2);
+    CHECK_FALSE(Deployment::load(nlohmann::json::object()));
+}
+
+} // namespace
+} // namespace bamboogap
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -182,7 +182,7 @@
 
 void ControlTask::join(const Joining &replica)
 {
-    joining_[replica.id] = replica;
+    joining_.ask(replica, BootClock::now());
 }
 
 Result<void> ControlTask::removeReplica(std::string_view name)
@@ -190,7 +190,7 @@
     auto next = membershipWithout(raft_->membership(), name, raft_->id());
     if (!next)
         return tl::unexpected(next.error());
-    std::erase_if(joining_, [&](const auto &item) { return item.second.name == name; });
+    joining_.forget(name);
     auto index = raft_->proposeMembership(*next, BootClock::now());
     if (!index)
         return tl::unexpected(index.error());
@@ -391,7 +391,9 @@
         }
     }
     const auto match = [this](ReplicaId id) { return raft_->matchIndex(id); };
-    auto next = nextMembership(raft_->membership(), joining_, match, raft_->commitIndex());
+    joining_.expire(now);
+    auto next = nextMembership(raft_->membership(), joining_.current(), match,
+                               raft_->commitIndex());
     if (next && settings_.selfManaged && next->voterCount() > settings_.fullVoters)
         next.reset(); // a lost voter has to give way first
     if (next) {
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -141,7 +141,7 @@
     std::map<LogIndex, Pending> pending_;
     std::map<ReplicaId, std::string> addresses_;
     std::map<ReplicaId, int> unanswered_; // messages in flight
-    std::map<ReplicaId, Joining> joining_;
+    JoinRequests joining_;
     std::string joinTarget_; // the leader that a replica named when asked to join
 };
 
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -72,7 +72,7 @@
 };
 struct InstallRoutesOrder
 {
-    uint64_t version = 0;
+    uint64_t version = 0; // of the document in the body, which is valid
 };
 struct ReadRoutesOrder
 {
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "base/compress.h"
 #include "base/log.h"
 #include "node/convert.h"
 
@@ -258,16 +259,8 @@
 void ReplicaFront::perform(ExchangeId exchange, const InstallRoutesOrder &order,
                            const HttpRequest &request)
 {
-    const auto parsed = dialect_.parseRoutes(request.body);
-    if (!parsed) {
-        logEvent(LogLevel::Warning, "routes_refused",
-                 { { "version", fmt::to_string(order.version) },
-                   { "problem", parsed.error().message } });
-        replyError(exchange, parsed.error());
-        return;
-    }
     answerCommit(exchange, fmt::format("routes {}", order.version),
-                 InstallRoutesCommand { order.version, request.body });
+                 InstallRoutesCommand { order.version, compress(request.body) });
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const ReadRoutesOrder &, const HttpRequest &)
@@ -347,7 +340,7 @@
             return failure(ErrorKind::NoLeader, "no route document was installed yet",
                            "install one");
         }
-        return std::string(document);
+        return decompress(document);
     };
     if (control_.maySpeak())
         return documentOf(control_.deployment().version(), control_.deployment().document());
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "base/compress.h"
 #include "base/log.h"
 #include "node/convert.h"
 
@@ -267,7 +268,13 @@
 {
     if (version == 0 || (table_ && version <= table_->version()))
         return;
-    auto parsed = hooks_.parseRoutes(document);
+    const auto text = decompress(document);
+    if (!text) {
+        logEvent(LogLevel::Error, "routes_refused",
+                 { { "version", fmt::to_string(version) }, { "problem", text.error().message } });
+        return;
+    }
+    auto parsed = hooks_.parseRoutes(*text);
     if (!parsed) {
         logEvent(LogLevel::Error, "routes_refused",
                  { { "version", fmt::to_string(version) },
