--- /dev/null
+++ b/testing/platform_fleet.py
@@ -0,0 +1,329 @@
+"""A stand-in of the users' platform on loopback: operator, runners, and a direct fleet.
+
+It speaks what docs/PLATFORM.md describes. Every node has an address of its own
+(127.77.x.y) and the same ports, as on the platform's machines. Only processes that
+were started here are ended.
+"""
+
+import http.client
+import http.server
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+
+from fleet import Process, free_port, wait_for
+
+KEY = "key-of-the-direct-fleet-in-tests"
+
+
+def call(address, method, path, body=None, headers=None, timeout=10):
+    """One HTTP request to (host, port): status, headers, body."""
+    connection = http.client.HTTPConnection(*address, timeout=timeout)
+    try:
+        data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+        connection.request(method, path, body=data, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+class Node(Process):
+    """A router or a control replica."""
+
+    def __init__(self, fleet, name, host, data_centre, replica):
+        self.fleet = fleet
+        self.host = host
+        self.data_centre = data_centre
+        self.replica = replica
+        self.data = os.path.join(fleet.folder, name + "-data") if replica else None
+        self.settings = os.path.join(fleet.folder, name + ".yaml")
+        super().__init__(name, [os.path.join(fleet.build, "bamboogapd"), "--settings",
+                                self.settings], os.path.join(fleet.folder, name + ".log"))
+
+    def address(self, port):
+        return self.host, self.fleet.ports[port]
+
+    def write_settings(self, first_start):
+        ports = self.fleet.ports
+        lines = ["node:", f"  name: {self.name}", f"  data_centre: {self.data_centre}",
+                 "  stop_within_ms: 8000"]
+        if self.replica:
+            lines.append(f"  data_folder: {self.data}")
+        listen = ["control"] if self.replica else ["callers", "readiness"]
+        lines.append("listen:")
+        lines += [f"  {key}: {self.host}:{ports[key]}" for key in listen + ["peers", "operators"]]
+        lines += ["fleet:", f"  key: {KEY}", "  forwarding: direct",
+                  f"  first_start: {str(first_start).lower()}", "  endpoint_silence_ms: 3000",
+                  "  seeds:"]
+        lines += [f"    - {node.host}:{ports['control']}" for node in self.fleet.replicas[:3]]
+        lines += ["control:", "  log_heartbeat_ms: 100", "  election_min_ms: 400",
+                  "  election_max_ms: 800", "  snapshot_every: 20"]
+        with open(self.settings, "w", encoding="utf-8") as out:
+            out.write("\n".join(lines) + "\n")
+
+    def status(self):
+        return json.loads(call(self.address("operators"), "GET", "/v1/operators/node",
+                               timeout=2)[2])
+
+    def ready(self):
+        try:
+            return call(self.address("readiness"), "GET", "/v1/readyz", timeout=2)[0] == 200
+        except OSError:
+            return False
+
+    def wipe(self):
+        self.kill()
+        shutil.rmtree(self.data)
+
+
+class Runner:
+    """A runner whose answers a test chooses by `behave`, a hook on the request.
+
+    behave(handler, runner) returns True if it has answered itself.
+    """
+
+    def __init__(self, fleet, name, service, data_centre="dc1", slots=4):
+        self.fleet = fleet
+        self.name = name
+        self.service = service
+        self.data_centre = data_centre
+        self.slots = slots
+        self.sequence = 0
+        self.state = "ready"
+        self.behave = None
+        self.runs = []  # ids of requests that were run
+        self.seen = []  # (id, headers, body)
+        self.events = 5
+        self.event_gap = 0.0
+        self.beating = True
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", free_port()),
+                                                      self.handler_class())
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(target=self.beat_on, daemon=True).start()
+
+    def handler_class(self):
+        runner = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *unused):
+                pass
+
+            def do_POST(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                runner.serve(self, body)
+
+            do_GET = do_POST
+
+        return Handler
+
+    def serve(self, handler, body):
+        request = handler.headers.get("X-Attempt-Id", "")
+        self.seen.append((request, dict(handler.headers), body))
+        if handler.headers.get("X-Target-Instance") not in (None, self.name):
+            self.answer(handler, 421, b"", {"X-Instance-Id": self.name}, signed=False)
+            return
+        if self.behave and self.behave(handler, self):
+            return
+        self.runs.append(request)
+        if "/stream/" in handler.path:
+            self.stream(handler)
+        else:
+            self.answer(handler, 200, b"whole answer of " + request.encode())
+
+    def answer(self, handler, status, body, headers=None, signed=True):
+        handler.send_response(status)
+        handler.send_header("X-Attempt-Id", handler.headers.get("X-Attempt-Id", ""))
+        if signed:
+            handler.send_header("X-Server-Signature", "sig-" + self.name)
+        for key, value in (headers or {}).items():
+            handler.send_header(key, value)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
+    def stream_head(self, handler):
+        handler.send_response(200)
+        handler.send_header("X-Attempt-Id", handler.headers.get("X-Attempt-Id", ""))
+        handler.send_header("X-Server-Signature", "sig-" + self.name)
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+
+    @staticmethod
+    def chunk(handler, data):
+        handler.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        handler.wfile.flush()
+
+    def stream(self, handler):
+        first = int(handler.headers.get("Last-Event-Id", 0)) + 1
+        self.stream_head(handler)
+        for number in range(first, self.events + 1):
+            self.chunk(handler, f"id: {number}\ndata: token {number}\n\n".encode())
+            time.sleep(self.event_gap)
+        self.chunk(handler, b"")
+
+    @staticmethod
+    def cut(handler):
+        """Resets the connection."""
+        handler.close_connection = True
+        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        handler.connection.close()
+
+    def beat(self):
+        """One heartbeat to the first replica that acknowledges it."""
+        self.sequence += 1
+        body = {"service": self.service, "address": f"127.0.0.1:{self.server.server_port}",
+                "zone": self.data_centre, "version": "v1", "batchSlots": self.slots,
+                "state": self.state, "warmupLeftMs": 0, "phase": "hybrid",
+                "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.sequence}
+        return self.fleet.control("PUT", "/v1/instances/" + self.name, body)
+
+    def beat_on(self):
+        while self.beating:
+            try:
+                self.beat()
+            except AssertionError:
+                pass  # no replica answers at the moment
+            time.sleep(0.5)
+
+    def drain(self):
+        self.state = "draining"
+        assert self.beat()[0] == 200
+
+    def stop(self):
+        self.beating = False
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class DirectFleet:
+    """Five replicas and two routers over three data centres."""
+
+    def __init__(self, build, replicas=5, routers=2):
+        self.build = build
+        self.folder = tempfile.mkdtemp(prefix="bamboogap-direct-")
+        self.ports = {name: free_port()
+                      for name in ("callers", "readiness", "control", "peers", "operators")}
+        net = 1 + os.getpid() % 250
+        self.replicas = [Node(self, f"replica-{i}", f"127.77.{net}.{i + 1}", f"dc{i % 3 + 1}", True)
+                         for i in range(replicas)]
+        self.routers = [Node(self, f"router-{i}", f"127.77.{net}.{i + 101}", f"dc{i % 3 + 1}",
+                             False) for i in range(routers)]
+        self.runners = []
+        self.number = 0
+
+    def start(self):
+        for node in self.replicas + self.routers:
+            node.write_settings(first_start=True)
+            node.start()
+        wait_for(lambda: self.voters() == len(self.replicas), 30, "every replica votes")
+
+    def leader_status(self):
+        for node in self.replicas:
+            if not node.alive():
+                continue
+            try:
+                status = node.status()["replica"]
+            except OSError:
+                continue
+            if any(item["leads"] and item["name"] == node.name for item in status["replicas"]):
+                return status
+        raise KeyError("no leader")
+
+    def voters(self):
+        status = self.leader_status()
+        return sum(item["voter"] for item in status["replicas"]) \
+            if status["replicas_settled"] else 0
+
+    def control(self, method, path, body=None, limit=10):
+        """An operator's or runner's call: the first replica that gives a clear answer."""
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            for node in self.replicas:
+                if not node.alive():
+                    continue
+                try:
+                    answer = call(node.address("control"), method, path, body, timeout=1)
+                except (OSError, http.client.HTTPException):
+                    continue
+                if answer[0] < 500:
+                    return answer
+            time.sleep(0.05)
+        raise AssertionError(f"no replica answered {method} {path}")
+
+    def runner(self, name, service, **options):
+        runner = Runner(self, name, service, **options)
+        self.runners.append(runner)
+        return runner
+
+    def configuration(self, version, **changes):
+        route = {"hostname": "a.example", "latencyGoalMs": 500, "priority": 1,
+                 "anonymous": False, "sticky": False, "resumable": False}
+        made = {
+            "version": version,
+            "routes": [
+                {**route, "name": "read", "pathPrefix": "/read/", "routeKind": "idempotent",
+                 "timeoutMs": 5000, "service": "plain", "maxAttempts": 2},
+                {**route, "name": "order", "pathPrefix": "/order/", "maxAttempts": 1,
+                 "routeKind": "non_idempotent", "timeoutMs": 3000, "service": "plain"},
+                {**route, "name": "stream", "pathPrefix": "/stream/", "routeKind": "streaming",
+                 "timeoutMs": 10000, "service": "engines", "maxAttempts": 2, "itlGoalMs": 500,
+                 "resumable": True},
+                {**route, "name": "once", "pathPrefix": "/stream/once/", "maxAttempts": 1,
+                 "routeKind": "streaming", "timeoutMs": 10000, "service": "engines",
+                 "itlGoalMs": 500}],
+            "services": [{"name": "plain", "healthPath": "/healthz", "maxConns": 100,
+                          "warmupS": 0, "warmupPerS": 0},
+                         {"name": "engines", "healthPath": "/healthz", "maxConns": 100,
+                          "warmupS": 0, "warmupPerS": 0,
+                          "engine": {"batchSlots": 8, "kvCapacity": 100000}}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "ws", "apiKeys": ["key-1"], "priority": 1}]}
+        made.update(changes)
+        return made
+
+    def install(self, version, **changes):
+        status, _, body = self.control("PUT", "/v1/configuration",
+                                       self.configuration(version, **changes))
+        assert status == 200, body
+        wait_for(lambda: all(router.status()["routes_version"] >= version
+                             for router in self.routers if router.alive()), 5,
+                 f"version {version} is in force")
+
+    def wait_endpoints(self):
+        names = {runner.name for runner in self.runners if runner.beating}
+        wait_for(lambda: all(
+            names <= {item["id"] for item in router.status()["endpoints"] if item["usable"]}
+            for router in self.routers if router.alive()), 10, "all endpoints are known")
+
+    def ask(self, path, method="GET", body=None, router=0, key="key-1", timeout=10, **headers):
+        """A client's request: status, headers, body; the id is in headers['id']."""
+        self.number += 1
+        request = f"attempt-{self.number}"
+        sent = {"Host": "a.example", "X-Attempt-Id": request, "X-Deadline-Ms": "8000"}
+        if key:
+            sent["Authorization"] = "Token " + key
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        answer = call(self.routers[router].address("callers"), method, path, body, sent, timeout)
+        return answer[0], {**answer[1], "id": request}, answer[2]
+
+    def stop(self, keep=False):
+        for runner in self.runners:
+            runner.stop()
+        for node in self.replicas + self.routers:
+            node.send(signal.SIGCONT)
+            node.kill()
+        if not keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
