--- a/control/state.h
+++ b/control/state.h
@@ -94,10 +94,9 @@
     bool out = false;
 };
 
-using Command
-        = std::variant<ChangeListsCommand, StartCallCommand, FinishCallCommand, SetViewCommand,
-                       StrikeCommand, RetractCommand, AbsolveCommand, ExpireCommand,
-                       InstallRoutesCommand, SetOutageCommand>;
+using Command = std::variant<ChangeListsCommand, StartCallCommand, FinishCallCommand,
+                             SetViewCommand, StrikeCommand, RetractCommand, AbsolveCommand,
+                             ExpireCommand, InstallRoutesCommand, SetOutageCommand>;
 
 struct Done
 {
--- a/control/testing/membership_test.cc
+++ b/control/testing/membership_test.cc
@@ -79,10 +79,11 @@
     CHECK(next->find(3) == nullptr);
     CHECK(next->voterCount() == 4);
     // With four voters none is removed: the replacement votes first.
-    CHECK_FALSE(withoutLostVoter(*next, 5, [](ReplicaId id) { return id == 4; }, match, 100));
+    CHECK_FALSE(withoutLostVoter(
+            *next, 5, [](ReplicaId id) { return id == 4; }, match, 100));
     // A replacement that is lost itself does not count.
-    CHECK_FALSE(withoutLostVoter(group, 5, [](ReplicaId id) { return id == 3 || id == 9; }, match,
-                                 100));
+    CHECK_FALSE(withoutLostVoter(
+            group, 5, [](ReplicaId id) { return id == 3 || id == 9; }, match, 100));
 }
 
 TEST_CASE("the highest version wins and resends change nothing")
--- a/fleet/roster.cc
+++ b/fleet/roster.cc
@@ -52,7 +52,8 @@
     const Instant coldUntil = now + std::chrono::milliseconds(record.warmupLeftMillis);
     const bool cold = record.warmupLeftMillis > 0;
     const bool warmupMoved = cold
-            && (coldUntil > entry.coldUntil + kSameWarmup || coldUntil < entry.coldUntil - kSameWarmup);
+            && (coldUntil > entry.coldUntil + kSameWarmup
+                || coldUntil < entry.coldUntil - kSameWarmup);
     const bool endedEarly = !cold && entry.coldUntil > now + kSameWarmup;
     if (!known || !sameContent(record, entry.record) || warmupMoved || endedEarly)
         entry.changedAt = ++version_;
@@ -101,8 +102,8 @@
         if (!changes.full && entry.changedAt <= version)
             continue;
         changes.records.push_back(entry.record);
-        changes.records.back().warmupLeftMillis = static_cast<uint32_t>(
-                std::max<int64_t>(0, toMillis(entry.coldUntil - now)));
+        changes.records.back().warmupLeftMillis
+                = static_cast<uint32_t>(std::max<int64_t>(0, toMillis(entry.coldUntil - now)));
     }
     return changes;
 }
--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -103,7 +103,8 @@
     CHECK(fixture.usable("e1", kStart + seconds(6)));
 
     other.tick(kStart + seconds(11));
-    fixture.merged.apply("r2", other.changesSince(9, 1, kStart + seconds(11)), kStart + seconds(11));
+    fixture.merged.apply("r2", other.changesSince(9, 1, kStart + seconds(11)),
+                         kStart + seconds(11));
     CHECK_FALSE(fixture.usable("e1", kStart + seconds(12)));
     // An answer to this router is better evidence than replicas that hear nothing.
     fixture.merged.answered("e1", kStart + seconds(12));
@@ -163,7 +164,8 @@
     // A process before the present one, a lost router and one that left do not count.
     board.report({ "a", 0, "dc1", 1, { { 5, 90, 0 } } }, kStart);
     board.leave("b");
-    CHECK(board.usesOfOthers("c", kStart) == std::vector<EndpointUse> { { 5, 2, 100 }, { 6, 1, 0 } });
+    CHECK(board.usesOfOthers("c", kStart)
+          == std::vector<EndpointUse> { { 5, 2, 100 }, { 6, 1, 0 } });
     const Instant later = kStart + RouterBoard::kAlive + milliseconds(1);
     CHECK(board.usesOfOthers("c", later).empty());
     CHECK(board.aliveCount(later) == 0);
--- a/node/controlserver.cc
+++ b/node/controlserver.cc
@@ -17,16 +17,15 @@
     const auto command = parseCommand(toView(context.getParams().getCommand()));
     if (!command)
         return KJ_EXCEPTION(FAILED, "unreadable command", command.error().message.c_str());
-    return control_->command(*command).then(
-            [this, context](Result<CommandAnswer> answer) mutable {
-                auto results = context.getResults();
-                if (!answer) {
-                    hint(results.initLeader());
-                    return;
-                }
-                results.setAnswered(true);
-                results.setAnswer(toData(encodeCommandAnswer(*answer)));
-            });
+    return control_->command(*command).then([this, context](Result<CommandAnswer> answer) mutable {
+        auto results = context.getResults();
+        if (!answer) {
+            hint(results.initLeader());
+            return;
+        }
+        results.setAnswered(true);
+        results.setAnswer(toData(encodeCommandAnswer(*answer)));
+    });
 }
 
 kj::Promise<void> ControlServer::raft(RaftContext context)
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -392,8 +392,8 @@
     }
     const auto match = [this](ReplicaId id) { return raft_->matchIndex(id); };
     joining_.expire(now);
-    auto next = nextMembership(raft_->membership(), joining_.current(), match,
-                               raft_->commitIndex());
+    auto next
+            = nextMembership(raft_->membership(), joining_.current(), match, raft_->commitIndex());
     if (next && settings_.selfManaged && next->voterCount() > settings_.fullVoters)
         next.reset(); // a lost voter has to give way first
     if (next) {
@@ -477,8 +477,7 @@
         forming_ = false;
         if (!formed) {
             logEvent(LogLevel::Warning, "group_not_formed",
-                     { { "reason", formed.error().message },
-                       { "remedy", formed.error().remedy } });
+                     { { "reason", formed.error().message }, { "remedy", formed.error().remedy } });
             return;
         }
         logEvent(LogLevel::Info, "group_formed",
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -83,8 +83,8 @@
     std::string dataCentre;
     bool out = false;
 };
-using ControlOrder
-        = std::variant<HeartbeatOrder, LeaveOrder, InstallRoutesOrder, ReadRoutesOrder, OutageOrder>;
+using ControlOrder = std::variant<HeartbeatOrder, LeaveOrder, InstallRoutesOrder, ReadRoutesOrder,
+                                  OutageOrder>;
 
 struct Dialect
 {
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -63,10 +63,9 @@
             if (auto opened = openRouter(); !opened)
                 return opened;
         }
-        return openPort(settings_.listen.operators, operatorPort_,
-                        [this](ExchangeId id, const HttpRequest &request) {
-                            operators(id, request);
-                        });
+        return openPort(
+                settings_.listen.operators, operatorPort_,
+                [this](ExchangeId id, const HttpRequest &request) { operators(id, request); });
     }
 
     void run() override
@@ -134,10 +133,9 @@
         if (!server)
             return tl::unexpected(server.error());
         peerServer_ = std::move(*server);
-        auto opened = openPort(settings_.listen.control, controlPort_,
-                               [this](ExchangeId id, const HttpRequest &request) {
-                                   front_->handle(id, request);
-                               });
+        auto opened = openPort(
+                settings_.listen.control, controlPort_,
+                [this](ExchangeId id, const HttpRequest &request) { front_->handle(id, request); });
         front_->setServer(controlPort_.get());
         return opened;
     }
@@ -170,10 +168,9 @@
         router_->setServer(callerPort_.get());
         if (settings_.listen.readiness.empty())
             return {};
-        return openPort(settings_.listen.readiness, readinessPort_,
-                        [this](ExchangeId id, const HttpRequest &request) {
-                            readiness(id, request);
-                        });
+        return openPort(
+                settings_.listen.readiness, readinessPort_,
+                [this](ExchangeId id, const HttpRequest &request) { readiness(id, request); });
     }
 
     Result<void> openPort(const std::string &address, std::unique_ptr<HttpServer> &port,
@@ -197,8 +194,8 @@
         HttpLimits limits = settings_.http;
         limits.maxHeaderBytes = std::max(limits.maxHeaderBytes, table->limits().maxHeaderBytes);
         limits.maxBodyBytes = std::max(limits.maxBodyBytes, table->limits().maxBodyBytes);
-        limits.slowSender = std::chrono::duration_cast<Duration>(table->limits().idleTimeout
-                                                                 * kIdleMargin);
+        limits.slowSender
+                = std::chrono::duration_cast<Duration>(table->limits().idleTimeout * kIdleMargin);
         callerPort_->setLimits(limits);
     }
 
@@ -212,11 +209,11 @@
         const bool ready = reply.status == 200;
         if (reply.status != 404 && ready != wasReady_) {
             wasReady_ = ready;
-            logEvent(LogLevel::Info, "readiness",
-                     { { "ready", ready ? "yes" : "no" },
-                       { "stopping", stopping_ ? "yes" : "no" },
-                       { "replicas",
-                         fmt::to_string(sync_->replicasAnswering(BootClock::now())) } });
+            logEvent(
+                    LogLevel::Info, "readiness",
+                    { { "ready", ready ? "yes" : "no" },
+                      { "stopping", stopping_ ? "yes" : "no" },
+                      { "replicas", fmt::to_string(sync_->replicasAnswering(BootClock::now())) } });
         }
         readinessPort_->reply(id, reply);
     }
@@ -269,8 +266,7 @@
                           { "address", standing.address },
                           { "usable", standing.usable },
                           { "out", standing.out },
-                          { "cold_ms",
-                            std::max<int64_t>(0, toMillis(standing.coldUntil - now)) },
+                          { "cold_ms", std::max<int64_t>(0, toMillis(standing.coldUntil - now)) },
                           { "ejected", standing.health.isEjected(now) },
                           { "running", standing.running },
                           { "running_by_others", standing.othersRunning },
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -379,8 +379,8 @@
     active.head = dialect_.readAnswer(status, headers);
     if (active.head.keepAlive)
         pool_.setKeepAlive(active.call, *active.head.keepAlive);
-    const bool foreign = !active.head.requestId.empty()
-            && active.head.requestId != active.caller.id;
+    const bool foreign
+            = !active.head.requestId.empty() && active.head.requestId != active.caller.id;
     const bool ok = status >= 200 && status < 300;
     active.success = ok && active.head.isSigned && !active.head.encoded
             && active.head.requestId == active.caller.id;
@@ -506,8 +506,7 @@
                                 : mayRunAgain(active) && active.runs < active.route->maxAttempts;
     const bool inTime = active.deadline - now >= kLeastRemaining;
     const bool spare = outcome == Outcome::Unreachable
-            || (allowed && inTime
-                && retries_.at(active.service).take(sync_->fleet().routers, now));
+            || (allowed && inTime && retries_.at(active.service).take(sync_->fleet().routers, now));
     if (allowed && inTime && spare) {
         active.events.dropPartial();
         metrics_.count("bamboogap_retries_total");
@@ -641,7 +640,8 @@
                 &active);
     }
     const int64_t micros = std::max<int64_t>(
-            0, std::chrono::duration_cast<std::chrono::microseconds>(at - BootClock::now()).count());
+            0,
+            std::chrono::duration_cast<std::chrono::microseconds>(at - BootClock::now()).count());
     const timeval delay { micros / 1000000, micros % 1000000 };
     event_add(active.timer, &delay);
 }
--- a/node/endpointpool.cc
+++ b/node/endpointpool.cc
@@ -235,8 +235,8 @@
         return nullptr;
     auto connection = std::make_unique<Connection>();
     connection->address = address;
-    connection->http = evhttp_connection_base_new(loop_.base(), nullptr, target->host.c_str(),
-                                                  target->port);
+    connection->http
+            = evhttp_connection_base_new(loop_.base(), nullptr, target->host.c_str(), target->port);
     connection->keepFor = limits_.idle;
     evhttp_connection_set_retries(connection->http, 0);
     evhttp_connection_set_max_body_size(connection->http,
@@ -284,8 +284,7 @@
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
     // evhttp states a length for some methods only.
     if (!poolCall.body.empty())
-        evhttp_add_header(headers, "Content-Length",
-                          std::to_string(poolCall.body.size()).c_str());
+        evhttp_add_header(headers, "Content-Length", std::to_string(poolCall.body.size()).c_str());
     evbuffer_add(evhttp_request_get_output_buffer(raw->request), poolCall.body.data(),
                  poolCall.body.size());
     if (!raw->connection->reused) {
@@ -367,8 +366,8 @@
         call->request = nullptr;
     }
     if (call->connection) {
-        evbuffer *input = bufferevent_get_input(
-                evhttp_connection_get_bufferevent(call->connection->http));
+        evbuffer *input
+                = bufferevent_get_input(evhttp_connection_get_bufferevent(call->connection->http));
         const bool surplus = evbuffer_get_length(input) > 0;
         if (end == CallEnd::Whole && call->mayKeep && !surplus) {
             Connection *kept = call->connection.get();
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -142,9 +142,11 @@
     if (request.getLeaving()) {
         routers_.leave(name);
     } else {
-        RouterReport report { name, request.getIncarnation(),
+        RouterReport report { name,
+                              request.getIncarnation(),
                               std::string(toView(request.getDataCentre())),
-                              request.getRoutesVersion(), {} };
+                              request.getRoutesVersion(),
+                              {} };
         for (const auto use : request.getUses())
             report.uses.push_back({ use.getKey(), use.getRunning(), use.getUnreadTokens() });
         if (routers_.routers().count(name) == 0)
@@ -312,10 +314,10 @@
 kj::Promise<Result<void>> ReplicaFront::commit(Command command)
 {
     const auto failed = [](kj::Exception &&problem) -> Result<void> {
-        return failure(ErrorKind::NoLeader,
-                       fmt::format("the leader did not answer: {}",
-                                   problem.getDescription().cStr()),
-                       "send the order again; it may have been committed");
+        return failure(
+                ErrorKind::NoLeader,
+                fmt::format("the leader did not answer: {}", problem.getDescription().cStr()),
+                "send the order again; it may have been committed");
     };
     if (control_.maySpeak()) {
         return loop_.within(kLeaderLimit, control_.command(command))
--- a/node/settings.cc
+++ b/node/settings.cc
@@ -374,8 +374,8 @@
     if (settings.forwarding == Forwarding::Direct) {
         RetryWindowSettings &retries = settings.direct.retries;
         retries.ratio = section.number<double>("retry_share", retries.ratio, 0.0, 1.0, "a share");
-        retries.slack = section.number<double>("retry_reserve", retries.slack, 0.0, 100000.0,
-                                               "retries");
+        retries.slack
+                = section.number<double>("retry_reserve", retries.slack, 0.0, 100000.0, "retries");
         retries.window = section.millis("retry_window_ms", retries.window, 1000, 600000);
         return;
     }
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -47,8 +47,8 @@
     record.dataCentre = toView(reader.getDataCentre());
     record.slots = reader.getSlots();
     record.warmupLeftMillis = reader.getWarmupLeftMillis();
-    record.state = static_cast<EndpointState>(std::min<uint8_t>(
-            reader.getState(), static_cast<uint8_t>(EndpointState::Gone)));
+    record.state = static_cast<EndpointState>(
+            std::min<uint8_t>(reader.getState(), static_cast<uint8_t>(EndpointState::Gone)));
     record.heard = reader.getHeard();
     for (const auto model : reader.getModels())
         record.models.push_back({ std::string(toView(model.getName())), model.getVersion() });
@@ -282,8 +282,7 @@
                          .then(
                                  [this](auto &&response) {
                                      fetching_ = false;
-                                     install(response.getVersion(),
-                                             toView(response.getDocument()));
+                                     install(response.getVersion(), toView(response.getDocument()));
                                  },
                                  [this, address](kj::Exception &&problem) {
                                      fetching_ = false;
--- a/routing/coldpace.cc
+++ b/routing/coldpace.cc
@@ -31,8 +31,7 @@
         return false;
     if (bearablePerSecond <= 0)
         return true;
-    const std::chrono::duration<double> interval(1.0
-                                                 / ownRate(bearablePerSecond, fleet, endpoint));
+    const std::chrono::duration<double> interval(1.0 / ownRate(bearablePerSecond, fleet, endpoint));
     nextAt_ = now + std::chrono::duration_cast<Duration>(interval);
     return true;
 }
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -139,8 +139,8 @@
     }
     const uint32_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens;
     const double missed = candidate.uncached > own ? candidate.uncached - own : 0;
-    const double unread = double(candidate.uncached) + standing.unreadTokens
-            + standing.othersUnread;
+    const double unread
+            = double(candidate.uncached) + standing.unreadTokens + standing.othersUnread;
     candidate.cost += standing.slowness
             * (unread / settings_.readTokensPerMilli
                + settings_.millisPerRunning * standing.load());
@@ -184,8 +184,8 @@
     const Standing *best = nullptr;
     uint32_t most = held + settings_.leastCopiedTokens;
     for (const auto &[key, standing] : standings_) {
-        if (&standing == chosen.standing || standing.service != request.service
-            || !standing.there || standing.health.isEjected(now))
+        if (&standing == chosen.standing || standing.service != request.service || !standing.there
+            || standing.health.isEjected(now))
             continue;
         const uint32_t cached = standing.cache.cachedTokens(request.prompt);
         if (cached >= most) {
@@ -200,8 +200,8 @@
     return best ? best->address : std::string();
 }
 
-tl::expected<Placement, PlacementProblem>
-EndpointBoard::place(const PlacementRequest &request, Instant now, double chance)
+tl::expected<Placement, PlacementProblem> EndpointBoard::place(const PlacementRequest &request,
+                                                               Instant now, double chance)
 {
     std::vector<Candidate> candidates;
     double load = 0;
@@ -264,8 +264,8 @@
     const auto rank = static_cast<size_t>(best - candidates.data());
     std::string source = copySource(request, *best, candidates, now);
     const uint32_t unread = request.model.empty() ? 0 : best->uncached;
-    return Placement { best->key, unread,           chosen.load(),     best->cost,
-                       rank,      candidates.size(), std::move(source) };
+    return Placement { best->key,         unread,           chosen.load(), best->cost, rank,
+                       candidates.size(), std::move(source) };
 }
 
 void EndpointBoard::began(EndpointKey key, const PlacementRequest &request, uint32_t unreadTokens)
@@ -309,8 +309,8 @@
     Standing &standing = found->second;
     standing.unreadTokens -= std::min(standing.unreadTokens, unreadTokens);
     const double millis = std::chrono::duration<double, std::milli>(latency).count();
-    const double ratio = std::clamp(millis / std::max(expectedMillis, 1.0), kLeastSlowness,
-                                    kMostSlowness);
+    const double ratio
+            = std::clamp(millis / std::max(expectedMillis, 1.0), kLeastSlowness, kMostSlowness);
     standing.slowness += kNewWeight * (ratio - standing.slowness);
 }
 
--- a/routing/endpointhealth.cc
+++ b/routing/endpointhealth.cc
@@ -34,7 +34,8 @@
         break;
     }
     const bool outlier = isOutlier(peerFailureShare);
-    if (isEjected(now) || (!mayEject && outcome != Outcome::Unreachable) || (breaksInRow_ < kBreaksToEject && !outlier && !probation_))
+    if (isEjected(now) || (!mayEject && outcome != Outcome::Unreachable)
+        || (breaksInRow_ < kBreaksToEject && !outlier && !probation_))
         return false;
     eject(now);
     return true;
--- a/routing/routetable.cc
+++ b/routing/routetable.cc
@@ -40,9 +40,9 @@
     }
     for (const RouteTarget &target : route.targets) {
         if (services.count(target.service) == 0) {
-            return invalid(fmt::format("route '{}': there is no service '{}'", route.name,
-                                       target.service),
-                           "define the service or correct its name");
+            return invalid(
+                    fmt::format("route '{}': there is no service '{}'", route.name, target.service),
+                    "define the service or correct its name");
         }
     }
     return {};
--- a/routing/testing/direct_test.cc
+++ b/routing/testing/direct_test.cc
@@ -391,12 +391,11 @@
     };
     REQUIRE_FALSE(repeats.empty());
     for (Instant from = kStart; from < kStart + seconds(30); from += milliseconds(100)) {
-        const double most = std::max({ within(requests, from, settings.window),
-                                       within(requests, from - settings.window, settings.window),
-                                       within(requests, from - settings.window / 2,
-                                              settings.window) });
-        CHECK(within(repeats, from, settings.window)
-              <= settings.ratio * most + settings.slack);
+        const double most
+                = std::max({ within(requests, from, settings.window),
+                             within(requests, from - settings.window, settings.window),
+                             within(requests, from - settings.window / 2, settings.window) });
+        CHECK(within(repeats, from, settings.window) <= settings.ratio * most + settings.slack);
     }
 }
 
