Others' work is packed and paced; a lost replica's word is kept for its return

Change: eight bytes an endpoint instead of 24, at most 3 kB/s a router; a lost replica's roster cursor is kept; answers may take longer in a large fleet.

--- a/fleet/roster.cc
+++ b/fleet/roster.cc
@@ -149,10 +149,12 @@
     }
 }
 
-void MergedRoster::replicaLost(std::string_view replica)
+void MergedRoster::setReachable(std::string_view replica, bool reachable)
 {
-    for (auto &[id, endpoint] : endpoints_)
-        endpoint.heardBy.erase(std::string(replica));
+    if (reachable)
+        lostReplicas_.erase(std::string(replica));
+    else
+        lostReplicas_.emplace(replica);
 }
 
 void MergedRoster::answered(std::string_view id, Instant now)
@@ -195,11 +197,15 @@
 {
     if (now - endpoint.lastProof < kAnswerProof)
         return false;
-    const bool heard = std::any_of(endpoint.heardBy.begin(), endpoint.heardBy.end(),
-                                   [](const auto &item) { return item.second; });
-    if (heard)
-        return false;
-    return !endpoint.heardBy.empty() || now - endpoint.lastProof > kNoWord;
+    bool told = false;
+    for (const auto &[replica, heard] : endpoint.heardBy) {
+        if (lostReplicas_.count(replica) > 0)
+            continue;
+        if (heard)
+            return false;
+        told = true;
+    }
+    return told || now - endpoint.lastProof > kNoWord;
 }
 
 bool MergedRoster::mayUse(const Endpoint &endpoint, Instant now) const
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -110,8 +111,9 @@
     };
 
     void apply(std::string_view replica, const RosterChanges &changes, Instant now);
-    // The replica cannot be reached while others can: its word no longer counts.
-    void replicaLost(std::string_view replica);
+    // Whether the replica can be reached. While it cannot, and others can, its word
+    // does not count; it need not be told again when the replica is back.
+    void setReachable(std::string_view replica, bool reachable);
     // The endpoint answered a request of this router.
     void answered(std::string_view id, Instant now);
     // Another endpoint answered at this address: the record is outdated.
@@ -134,6 +136,7 @@
     uint64_t version_ = 1;
     std::map<std::string, Endpoint, std::less<>> endpoints_;
     std::map<std::string, std::string, std::less<>> addressOwners_; // newest id by address
+    std::set<std::string, std::less<>> lostReplicas_;
 };
 
 } // namespace bamboogap
--- a/fleet/routerboard.cc
+++ b/fleet/routerboard.cc
@@ -1,7 +1,61 @@
 #include "fleet/routerboard.h"
 
+#include <algorithm>
+#include <unordered_map>
+
 namespace bamboogap {
 
+namespace {
+
+constexpr size_t kPackedBytes = 8;
+constexpr uint32_t kTokensUnit = 64;
+
+// Little-endian, whatever the machine's order.
+void append(std::string &bytes, uint32_t value, size_t size)
+{
+    for (size_t i = 0; i < size; ++i)
+        bytes += static_cast<char>((value >> (8 * i)) & 0xff);
+}
+
+uint32_t extract(std::string_view bytes, size_t at, size_t size)
+{
+    uint32_t value = 0;
+    for (size_t i = 0; i < size; ++i)
+        value |= uint32_t { static_cast<uint8_t>(bytes[at + i]) } << (8 * i);
+    return value;
+}
+
+} // namespace
+
+std::string packUses(const std::vector<EndpointUse> &uses)
+{
+    std::string bytes;
+    bytes.reserve(uses.size() * kPackedBytes);
+    for (const EndpointUse &use : uses) {
+        append(bytes, static_cast<uint32_t>(use.key), 4);
+        append(bytes, std::min<uint32_t>(use.running, UINT16_MAX), 2);
+        append(bytes, std::min<uint32_t>(use.unreadTokens / kTokensUnit, UINT16_MAX), 2);
+    }
+    return bytes;
+}
+
+void unpackUses(std::string_view bytes, std::vector<EndpointUse> &uses)
+{
+    std::unordered_map<uint32_t, size_t> byKey;
+    for (size_t i = 0; i < uses.size(); ++i) {
+        uses[i].running = 0;
+        uses[i].unreadTokens = 0;
+        byKey[static_cast<uint32_t>(uses[i].key)] = i;
+    }
+    for (size_t at = 0; at + kPackedBytes <= bytes.size(); at += kPackedBytes) {
+        const auto found = byKey.find(extract(bytes, at, 4));
+        if (found == byKey.end())
+            continue;
+        uses[found->second].running = extract(bytes, at + 4, 2);
+        uses[found->second].unreadTokens = extract(bytes, at + 6, 2) * kTokensUnit;
+    }
+}
+
 void RouterBoard::report(RouterReport report, Instant now)
 {
     Entry &entry = routers_[report.name];
@@ -46,6 +100,16 @@
     return count;
 }
 
+bool RouterBoard::mayTellUses(std::string_view name, size_t bytes, Instant now)
+{
+    const auto found = routers_.find(name);
+    if (found == routers_.end() || now < found->second.usesDueAt)
+        return false;
+    const std::chrono::duration<double> pause(double(bytes) / kUsesBytesPerSecond);
+    found->second.usesDueAt = now + std::chrono::duration_cast<Duration>(pause);
+    return true;
+}
+
 uint32_t RouterBoard::rankOf(std::string_view name, Instant now) const
 {
     uint32_t rank = 0;
--- a/fleet/routerboard.h
+++ b/fleet/routerboard.h
@@ -25,6 +25,14 @@
     bool operator==(const EndpointUse &) const = default;
 };
 
+// Uses as they go to routers, eight bytes each: the low half of the key, the running
+// requests, and the unread tokens in units of 64. Values that do not fit are cut off.
+std::string packUses(const std::vector<EndpointUse> &uses);
+
+// Fills the uses from packed bytes by the low half of their keys; uses that are not
+// among the bytes get zeros. Bytes that are no whole entry are ignored.
+void unpackUses(std::string_view bytes, std::vector<EndpointUse> &uses);
+
 struct RouterReport
 {
     std::string name;
@@ -41,6 +49,9 @@
     // longest interval at which routers report.
     static constexpr Duration kAlive = std::chrono::seconds(3);
 
+    // Of the 4 KB/s that a node may spend on control.
+    static constexpr double kUsesBytesPerSecond = 3000;
+
     void report(RouterReport report, Instant now);
     // The router ends; its last uses no longer count.
     void leave(std::string_view name);
@@ -48,6 +59,9 @@
     // Sums over all live routers but the one named.
     std::vector<EndpointUse> usesOfOthers(std::string_view name, Instant now) const;
     uint32_t aliveCount(Instant now) const;
+    // Whether the sum is due for a router, so that telling it takes no more than the
+    // bytes a second that a node may spend on it. Counts as told if so.
+    bool mayTellUses(std::string_view name, size_t bytes, Instant now);
     // Position of a router among the live ones, by name.
     uint32_t rankOf(std::string_view name, Instant now) const;
 
@@ -55,6 +69,7 @@
     {
         RouterReport report;
         Instant heardAt {};
+        Instant usesDueAt {}; // when the others' work may be told again
     };
     const std::map<std::string, Entry, std::less<>> &routers() const { return routers_; }
 
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -188,14 +188,10 @@
     auto records = reply.initChanged(changes.records.size());
     for (size_t i = 0; i < changes.records.size(); ++i)
         write(changes.records[i], records[i]);
-    std::vector<EndpointUse> others;
-    if (request.getWantsOthers())
-        others = routers_.usesOfOthers(name, now);
-    auto uses = reply.initUses(others.size());
-    for (size_t i = 0; i < others.size(); ++i) {
-        uses[i].setKey(others[i].key);
-        uses[i].setRunning(std::min<uint32_t>(others[i].running, UINT16_MAX));
-        uses[i].setUnreadTokens(others[i].unreadTokens);
+    if (request.getWantsOthers() && routers_.mayTellUses(name, roster_.size() * 8, now)) {
+        reply.setHasUses(true);
+        const std::string uses = packUses(routers_.usesOfOthers(name, now));
+        reply.setUses(toData(uses));
     }
     reply.setRouters(routers_.aliveCount(now));
     reply.setRank(routers_.rankOf(name, now));
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -18,6 +18,9 @@
 // An answer takes two crossings and a few milliseconds of a small processor; a
 // replica that needs longer is cut off or stands still.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(900);
+// In a large fleet answers wait for each other on a replica's link; giving one up and
+// asking again only adds to that.
+constexpr Duration kAnswerPerRouter = std::chrono::milliseconds(25);
 constexpr Duration kRoutesLimit = std::chrono::seconds(3);
 // A replica that has not answered yet is given less time: while its machine has no
 // power, connecting hangs, and a new attempt succeeds as soon as it is back.
@@ -130,11 +133,8 @@
     if (replicasAnswering(now) == 0)
         return;
     for (auto &[address, link] : links_) {
-        if (link.rosterEpoch == 0 || now - link.answeredAt < kReplicaLost)
-            continue;
-        roster_.replicaLost(address);
-        link.rosterEpoch = 0;
-        link.rosterVersion = 0;
+        if (now - link.answeredAt >= kReplicaLost)
+            roster_.setReachable(address, false);
     }
 }
 
@@ -171,7 +171,9 @@
     request.setWantsOthers(address == teller_);
     request.setPlacementsVersion(link.placementsVersion);
     link.inFlight = true;
-    const Duration limit = link.reachable ? kAnswerLimit : kFirstAnswerLimit;
+    const Duration limit = link.reachable
+            ? std::max<Duration>(kAnswerLimit, fleet_.routers * kAnswerPerRouter)
+            : kFirstAnswerLimit + fleet_.routers * kIntervalPerRouter;
     loop_.detach(loop_.within(limit, call.send())
                          .then(
                                  [this, address, sent, placementsSent](auto &&response) {
@@ -224,6 +226,7 @@
     changes.full = reply.getRosterFull();
     for (const auto record : reply.getChanged())
         changes.records.push_back(read(record));
+    roster_.setReachable(address, true);
     roster_.apply(address, changes, now);
     link.rosterEpoch = changes.epoch;
     link.rosterVersion = changes.version;
@@ -250,10 +253,11 @@
             followReplicas();
         }
     }
-    if (address == teller_) {
+    if (reply.getHasUses() && address == teller_) {
         others_.clear();
-        for (const auto use : reply.getUses())
-            others_.push_back({ use.getKey(), use.getRunning(), use.getUnreadTokens() });
+        for (const auto &[id, endpoint] : roster_.endpoints())
+            others_.push_back({ endpoint.key, 0, 0 });
+        unpackUses(toView(reply.getUses()), others_);
     }
     fleet_ = { std::max<uint32_t>(1, reply.getRouters()), reply.getRank() };
     link.placementsVersion = reply.getPlacementsVersion();
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -250,7 +250,7 @@
   rosterVersion @5 :UInt64;
   rosterFull @6 :Bool;
   changed @7 :List(EndpointRecord);
-  uses @8 :List(EndpointUse);  # of all other routers together
+  uses @8 :Data;  # of all other routers together; see fleet/routerboard.h
   routers @9 :UInt16;  # heard a moment ago, this one included
   replicas @10 :List(Text);
   suspectsVersion @11 :UInt64;
@@ -259,6 +259,7 @@
   rank @14 :UInt16;  # of this router among them, by name
   placements @15 :List(PromptPlacement);  # by other routers
   placementsVersion @16 :UInt64;
+  hasUses @17 :Bool;  # else the last ones hold on
 }
 
 interface AnswerSink {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -3824,7 +3824,7 @@
   inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader getChanged() const;
 
   inline bool hasUses() const;
-  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
+  inline  ::capnp::Data::Reader getUses() const;
 
   inline  ::uint16_t getRouters() const;
 
@@ -3845,6 +3845,8 @@
 
   inline  ::uint64_t getPlacementsVersion() const;
 
+  inline bool getHasUses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3907,11 +3909,11 @@
   inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>> disownChanged();
 
   inline bool hasUses();
-  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder getUses();
-  inline void setUses( ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder initUses(unsigned int size);
-  inline void adoptUses(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>> disownUses();
+  inline  ::capnp::Data::Builder getUses();
+  inline void setUses( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownUses();
 
   inline  ::uint16_t getRouters();
   inline void setRouters( ::uint16_t value);
@@ -3950,6 +3952,9 @@
   inline  ::uint64_t getPlacementsVersion();
   inline void setPlacementsVersion( ::uint64_t value);
 
+  inline bool getHasUses();
+  inline void setHasUses(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10395,29 +10400,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getUses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader SyncReply::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getUses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder SyncReply::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SyncReply::Builder::setUses( ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncReply::Builder::setUses( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initUses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder SyncReply::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void SyncReply::Builder::adoptUses(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownUses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> SyncReply::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
@@ -10597,6 +10602,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncReply::Reader::getHasUses() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getHasUses() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setHasUses(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -187,10 +187,13 @@
                                       b"\x01\x00\x00\x00\x00\x00\x00\x00")
         handler.connection.close()
 
+    def announced_port(self):
+        return self.server.server_port
+
     def beat(self):
         """One heartbeat to the first replica that acknowledges it."""
         self.sequence += 1
-        body = {"service": self.service, "address": f"127.0.0.1:{self.server.server_port}",
+        body = {"service": self.service, "address": f"127.0.0.1:{self.announced_port()}",
                 "zone": self.data_centre, "version": "v1", "batchSlots": self.slots,
                 "state": self.state, "warmupLeftMs": 0, "phase": "hybrid",
                 "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.sequence}
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -90,14 +90,10 @@
         self.proxy = None
         super().__init__(*arguments, **options)
 
-    def beat(self):
+    def announced_port(self):
         if self.proxy is None:
             self.proxy = Proxy(self.server.server_port)
-        server, self.server = self.server, type("At", (), {"server_port": self.proxy.port})
-        try:
-            return super().beat()
-        finally:
-            self.server = server
+        return self.proxy.port
 
     def stop(self):
         super().stop()
