--- /dev/null
+++ b/node/directanswer.cc
@@ -0,0 +1,299 @@
+// From an endpoint back to the caller: checking and relaying answers, trying again,
+// refusing.
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+#include "node/directrequest.h"
+
+namespace bamboogap {
+
+using detail::kLeastRemaining;
+using detail::scaled;
+
+namespace {
+
+// Sends of a request that no endpoint has run: each may meet a full or vanished one.
+constexpr uint32_t kMostSends = 4;
+// When refused callers are told to return, least and spread: a place is free again
+// after the mean time of a few requests; a restarted fleet serves again when a leader
+// is elected and endpoints have announced themselves; a stopping router is left at once.
+struct ReturnTime
+{
+    Duration least;
+    Duration spread;
+};
+constexpr ReturnTime kWhenPlaceFree { std::chrono::milliseconds(250),
+                                      std::chrono::milliseconds(400) };
+constexpr ReturnTime kWhenFleetReady { std::chrono::milliseconds(1500),
+                                       std::chrono::milliseconds(1000) };
+constexpr ReturnTime kAtOnce { std::chrono::milliseconds(20), std::chrono::milliseconds(80) };
+
+std::string millisText(Duration duration)
+{
+    return fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(duration).count());
+}
+
+} // namespace
+
+bool DirectRouter::onHead(ExchangeId id, int status, std::span<const HttpHeader> headers)
+{
+    Active &active = *active_.at(id);
+    active.status = status;
+    active.headers.assign(headers.begin(), headers.end());
+    active.head = dialect_.readAnswer(status, headers);
+    if (active.head.keepAlive)
+        pool_.setKeepAlive(active.call, *active.head.keepAlive);
+    const bool foreign
+            = !active.head.requestId.empty() && active.head.requestId != active.caller.id;
+    const bool ok = status >= 200 && status < 300;
+    active.success = ok && active.head.isSigned && !active.head.encoded
+            && active.head.requestId == active.caller.id;
+    // What claims to be a success but cannot be the endpoint's own is not read on.
+    return !foreign && (!ok || active.success);
+}
+
+void DirectRouter::onData(ExchangeId id, std::string_view data)
+{
+    Active &active = *active_.at(id);
+    if (!active.success || !active.isStream) {
+        active.body += data;
+        return;
+    }
+    const std::string events = active.events.feed(data);
+    if (!events.empty())
+        relay(active, events);
+}
+
+void DirectRouter::relay(Active &active, std::string_view events)
+{
+    const Instant now = BootClock::now();
+    active.lastEventAt = now;
+    if (!active.hadFirstByte) {
+        active.hadFirstByte = true;
+        board_.firstToken(active.endpoint, active.unreadTokens, active.expectedMillis,
+                          now - active.sentAt);
+        sync_->roster().answered(active.endpointId, now);
+    }
+    if (!active.streaming) {
+        active.streaming = true;
+        active.firstEventAt = now;
+        metrics_.observe("bamboogap_first_event_seconds", {}, now - active.arrivedAt);
+        auto headers = dialect_.callerHeaders(active.headers);
+        if (stopping_)
+            headers.push_back({ "Connection", "close" });
+        server_->startStream(active.id, active.status, {}, headers);
+    }
+    // The output buffer is bounded by the endpoint's answer, which is bounded.
+    auto taken = server_->chunk(active.id, events);
+    (void)taken;
+    if (mayRunAgain(active))
+        armTimer(active, attemptLimit(active));
+}
+
+void DirectRouter::onEnd(ExchangeId id, CallEnd end, std::string_view reason)
+{
+    Active &active = *active_.at(id);
+    active.call = 0;
+    if (end == CallEnd::NotSent) {
+        settle(active, Outcome::Unreachable, reason);
+        tryAgain(active, Outcome::Unreachable, reason);
+        return;
+    }
+    if (end == CallEnd::Broken) {
+        ++active.runs;
+        settle(active, Outcome::Broken, reason);
+        if (!active.hadFirstByte)
+            sync_->reportCrash({ active.fingerprint,
+                                 fmt::format("{}/{}", active.endpointId, active.endpointBorn) });
+        tryAgain(active, Outcome::Broken, reason);
+        return;
+    }
+    finishWhole(active);
+}
+
+// The endpoint's answer came in full.
+void DirectRouter::finishWhole(Active &active)
+{
+    if (active.head.notRun || active.head.misdirected) {
+        if (active.head.misdirected && active.head.endpointId != active.endpointId) {
+            sync_->roster().misdirected(active.endpointId);
+            onNews();
+        }
+        settle(active, Outcome::Rejected, active.head.misdirected ? "misdirected" : "not run");
+        tryAgain(active, Outcome::Rejected, "the endpoint did not run it");
+        return;
+    }
+    ++active.runs;
+    if (active.success && active.isStream) {
+        const bool whole = !active.events.hasPartial() && active.hadFirstByte;
+        settle(active, whole ? Outcome::Succeeded : Outcome::Broken, "");
+        if (!whole) {
+            tryAgain(active, Outcome::Broken, "the stream ended within an event");
+            return;
+        }
+        logEnd(active, active.status, "whole");
+        server_->endStream(active.id);
+        erase(active.id);
+        return;
+    }
+    if (active.success) {
+        sync_->roster().answered(active.endpointId, BootClock::now());
+        settle(active, Outcome::Succeeded, "");
+        answerEndpoint(active);
+        return;
+    }
+    settle(active, Outcome::Failed, "");
+    tryAgain(active, Outcome::Failed, "the endpoint failed it");
+}
+
+// Books the end of an attempt.
+void DirectRouter::settle(Active &active, Outcome outcome, std::string_view reason)
+{
+    const Instant now = BootClock::now();
+    const bool ejected = board_.ended(active.endpoint, active.unreadTokens, active.hadFirstByte,
+                                      outcome, now - active.sentAt, now);
+    if (ejected) {
+        logEvent(LogLevel::Warning, "endpoint_ejected",
+                 { { "endpoint", active.endpointId },
+                   { "request", active.caller.id },
+                   { "reason", std::string(reason) } });
+        metrics_.count("bamboogap_ejections_total");
+    }
+}
+
+// After an attempt that brought no answer to hand on.
+void DirectRouter::tryAgain(Active &active, Outcome outcome, std::string_view reason)
+{
+    const Instant now = BootClock::now();
+    const bool notRun = outcome == Outcome::Unreachable || outcome == Outcome::Rejected;
+    const bool allowed = notRun ? active.sends < kMostSends
+                                : mayRunAgain(active) && active.runs < active.route->maxAttempts;
+    const bool inTime = active.deadline - now >= kLeastRemaining;
+    const bool spare = outcome == Outcome::Unreachable
+            || (allowed && inTime && retries_.at(active.service).take(sync_->fleet().routers, now));
+    if (allowed && inTime && spare) {
+        active.events.dropPartial();
+        metrics_.count("bamboogap_retries_total");
+        const auto placed = board_.place(placementRequest(active), now, chance());
+        if (placed) {
+            send(active, *placed);
+            return;
+        }
+    }
+    if (active.streaming) {
+        fail(active, 502, reason);
+        return;
+    }
+    if (outcome == Outcome::Failed && active.status != 0) {
+        answerEndpoint(active);
+        return;
+    }
+    if (notRun && active.runs == 0) {
+        refuse(active, Refusal::NoCapacity, reason);
+        return;
+    }
+    fail(active, inTime ? 502 : 504, reason);
+}
+
+// Hands on the endpoint's answer as it is.
+void DirectRouter::answerEndpoint(Active &active)
+{
+    HttpReply reply;
+    reply.status = active.status;
+    reply.contentType.clear();
+    reply.headers = dialect_.callerHeaders(active.headers);
+    if (stopping_)
+        reply.headers.push_back({ "Connection", "close" });
+    reply.body = std::move(active.body);
+    metrics_.observe("bamboogap_answer_seconds", {}, BootClock::now() - active.arrivedAt);
+    logEnd(active, active.status, active.success ? "whole" : "endpoint_failed");
+    const ExchangeId id = active.id;
+    server_->reply(id, reply);
+    erase(id);
+}
+
+Duration DirectRouter::returnTime(Refusal refusal)
+{
+    ReturnTime time = refusal == Refusal::NoCapacity ? kWhenPlaceFree : kWhenFleetReady;
+    if (stopping_)
+        time = kAtOnce;
+    return time.least + scaled(time.spread, chance());
+}
+
+void DirectRouter::refuse(Active &active, Refusal refusal, std::string_view reason)
+{
+    switch (refusal) {
+    case Refusal::BadRequest:
+        replyOwn(active, 400, "invalid_request", reason, std::nullopt);
+        return;
+    case Refusal::NoRoute:
+        replyOwn(active, 404, "no_route", reason, std::nullopt);
+        return;
+    case Refusal::BadKey:
+        replyOwn(active, 401, "unknown_key", reason, std::nullopt);
+        return;
+    case Refusal::Quarantined:
+        replyOwn(active, 503, "quarantined", reason, std::nullopt);
+        return;
+    case Refusal::NotReady:
+    case Refusal::NoCapacity:
+        replyOwn(active, 503, "no_capacity", reason, returnTime(refusal));
+        return;
+    }
+}
+
+// Ends a request whose fate is not known to be "not run".
+void DirectRouter::fail(Active &active, int status, std::string_view reason)
+{
+    if (!active.streaming) {
+        replyOwn(active, status, status == 504 ? "deadline" : "endpoint_broke_off", reason,
+                 std::nullopt);
+        return;
+    }
+    logEnd(active, status, reason);
+    const ExchangeId id = active.id;
+    server_->breakStream(id);
+    erase(id);
+}
+
+void DirectRouter::replyOwn(Active &active, int status, std::string_view type,
+                            std::string_view reason, std::optional<Duration> retryAfter)
+{
+    HttpReply reply;
+    reply.status = status;
+    reply.headers = dialect_.refusalHeaders(active.caller.id, retryAfter);
+    if (stopping_)
+        reply.headers.push_back({ "Connection", "close" });
+    reply.body = nlohmann::json { { "error", { { "type", type }, { "message", reason } } } }.dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    logEnd(active, status, reason);
+    const ExchangeId id = active.id;
+    server_->reply(id, reply);
+    erase(id);
+}
+
+void DirectRouter::logEnd(const Active &active, int status, std::string_view reason)
+{
+    const Instant now = BootClock::now();
+    metrics_.count("bamboogap_answers_total",
+                   fmt::format("route=\"{}\",status=\"{}\"",
+                               active.route ? active.route->name : "none", status));
+    logEvent(LogLevel::Info, "answered",
+             { { "request", active.caller.id },
+               { "route", active.route ? active.route->name : "none" },
+               { "status", fmt::to_string(status) },
+               { "reason", std::string(reason) },
+               { "endpoint", active.endpointId },
+               { "sends", fmt::to_string(active.sends) },
+               { "runs", fmt::to_string(active.runs) },
+               { "first_ms",
+                 active.streaming ? millisText(active.firstEventAt - active.arrivedAt) : "-" },
+               { "events", fmt::to_string(active.events.events()) },
+               { "took_ms", millisText(now - active.arrivedAt) } });
+}
+
+} // namespace bamboogap
--- /dev/null
+++ b/node/directrequest.h
@@ -0,0 +1,77 @@
+// The state of one request in a direct router; only for the router's own sources.
+
+#ifndef BAMBOOGAP_NODE_DIRECTREQUEST_H
+#define BAMBOOGAP_NODE_DIRECTREQUEST_H
+
+#include "node/directrouter.h"
+
+namespace bamboogap {
+
+// One request of a caller while it is open here.
+struct DirectRouter::Active
+{
+    DirectRouter *router = nullptr;
+    ExchangeId id = 0;
+    HttpRequest request;
+    CallerRequest caller;
+    std::vector<ChainPart> prompt;
+    std::shared_ptr<const RouteTable> table; // keeps route alive
+    const Route *route = nullptr;
+    std::string workspace;
+    uint32_t priority = 0;
+    std::string service;
+    bool isEngine = false;
+    bool isStream = false;
+    Instant arrivedAt {};
+    Instant deadline {};
+    Instant waitUntil {}; // for a place
+    Fingerprint fingerprint = 0;
+    event *timer = nullptr;
+
+    uint32_t sends = 0;
+    uint32_t runs = 0; // sends that an endpoint may have run
+    std::set<EndpointKey> tried;
+
+    // The attempt under way.
+    CallId call = 0; // 0 if none
+    EndpointKey endpoint = 0;
+    std::string endpointId;
+    int64_t endpointBorn = 0;
+    Instant sentAt {};
+    uint32_t unreadTokens = 0;
+    double expectedMillis = 0;
+    bool hadFirstByte = false;
+    int status = 0;
+    std::vector<HttpHeader> headers;
+    AnswerHead head;
+    bool success = false; // status and signature are those of a success
+    std::string body;
+
+    // The stream to the caller.
+    EventStream events;
+    bool streaming = false;
+    Instant firstEventAt {};
+    Instant lastEventAt {};
+
+    ~Active()
+    {
+        if (timer)
+            event_free(timer);
+    }
+};
+
+namespace detail {
+
+inline Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+// An endpoint given less time than this answers too late for the caller.
+inline constexpr Duration kLeastRemaining = std::chrono::milliseconds(5);
+
+} // namespace detail
+
+} // namespace bamboogap
+
+#endif
--- a/node/endpointcall.cc
+++ b/node/endpointcall.cc
@@ -19,6 +19,8 @@
 #include <fmt/format.h>
 #include <kj/debug.h>
 
+#include "node/httpclient.h"
+
 namespace bamboogap {
 
 namespace {
@@ -26,40 +28,6 @@
 // Reading from the endpoint pauses while this much waits to be handed on.
 constexpr size_t kUnhandledBytes = 256 << 10;
 
-evhttp_cmd_type methodType(std::string_view method)
-{
-    if (method == "POST")
-        return EVHTTP_REQ_POST;
-    if (method == "PUT")
-        return EVHTTP_REQ_PUT;
-    if (method == "DELETE")
-        return EVHTTP_REQ_DELETE;
-    if (method == "PATCH")
-        return EVHTTP_REQ_PATCH;
-    if (method == "HEAD")
-        return EVHTTP_REQ_HEAD;
-    return EVHTTP_REQ_GET;
-}
-
-std::string errorName(evhttp_request_error error)
-{
-    switch (error) {
-    case EVREQ_HTTP_TIMEOUT:
-        return "the endpoint fell silent";
-    case EVREQ_HTTP_EOF:
-        return "the endpoint closed the connection before the answer was whole";
-    case EVREQ_HTTP_INVALID_HEADER:
-        return "the endpoint sent no HTTP answer";
-    case EVREQ_HTTP_BUFFER_ERROR:
-        return "the connection to the endpoint failed";
-    case EVREQ_HTTP_REQUEST_CANCEL:
-        return "the request was cancelled";
-    case EVREQ_HTTP_DATA_TOO_LONG:
-        return "the endpoint's answer is too long";
-    }
-    return "the connection to the endpoint failed";
-}
-
 class EndpointCall
 {
 public:
@@ -272,7 +240,8 @@
 
     static void onError(evhttp_request_error error, void *context)
     {
-        static_cast<EndpointCall *>(context)->error_ = errorName(error);
+        static_cast<EndpointCall *>(context)->error_
+                = fmt::format("the endpoint's answer failed: {}", reasonOf(error));
     }
 
     static void onDone(evhttp_request *request, void *context)
--- a/node/eventloop.cc
+++ b/node/eventloop.cc
@@ -26,13 +26,6 @@
 constexpr size_t kWriteBufferBytes = 256 << 10;
 constexpr int kListenBacklog = 1024;
 
-timeval toTimeval(Duration duration)
-{
-    const int64_t micros = std::max<int64_t>(
-            0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
-    return { micros / 1000000, micros % 1000000 };
-}
-
 // Fulfils a promise when a libevent timer fires.
 class TimerAdapter
 {
@@ -426,6 +419,13 @@
     return std::unique_ptr<StreamListener>(std::move(listener));
 }
 
+timeval toTimeval(Duration duration)
+{
+    const int64_t micros = std::max<int64_t>(
+            0, std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+    return { micros / 1000000, micros % 1000000 };
+}
+
 void setNoDelay(evutil_socket_t socket)
 {
     const int on = 1;
--- a/node/eventloop.h
+++ b/node/eventloop.h
@@ -87,6 +87,9 @@
     virtual ~StreamListener() = default;
 };
 
+// For libevent; a negative duration becomes 0.
+timeval toTimeval(Duration duration);
+
 void setNoDelay(evutil_socket_t socket);
 
 } // namespace bamboogap
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -49,12 +49,6 @@
     }
 }
 
-timeval toTimeval(Duration duration)
-{
-    const int64_t millis = toMillis(duration);
-    return { millis / 1000, (millis % 1000) * 1000 };
-}
-
 std::string takeBody(evhttp_request *request)
 {
     evbuffer *input = evhttp_request_get_input_buffer(request);
