--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -194,7 +194,7 @@
 {
     RouterBoard board;
     board.report({ "a", 1, "dc1", 1, {} }, kStart);
-    constexpr size_t kBytes = 8 * 1000;
+    constexpr size_t kBytes = 8000;
     size_t told = 0;
     for (Instant now = kStart; now < kStart + seconds(20); now += milliseconds(250))
         told += board.mayTellUses("a", kBytes, now) ? kBytes : 0;
@@ -204,7 +204,7 @@
     // A small fleet is told with every report.
     board.report({ "b", 1, "dc1", 1, {} }, kStart);
     for (Instant now = kStart; now < kStart + seconds(5); now += milliseconds(250))
-        CHECK(board.mayTellUses("b", 8 * 60, now));
+        CHECK(board.mayTellUses("b", 480, now));
 }
 
 TEST_CASE("a placement log tells each router the others' placements once")
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -211,13 +211,15 @@
     Gathered gathered;
     std::vector<Candidate> ejected; // the last resort
     double load = 0;
-    size_t usable = 0;
+    size_t alive = 0; // also those that drain or are out: all count for the mean
     for (auto &[key, standing] : standings_) {
-        if (!standing.usable || standing.out || standing.service != request.service
+        if (!standing.there || standing.service != request.service
             || !offers(standing, request.model))
             continue;
-        ++usable;
+        ++alive;
         load += standing.load();
+        if (!standing.usable || standing.out)
+            continue;
         if (request.avoid && request.avoid->count(key) > 0)
             continue;
         if (standing.health.isEjected(now)
@@ -235,7 +237,7 @@
     }
     if (gathered.candidates.empty() && !gathered.sawCold)
         gathered.candidates = std::move(ejected);
-    gathered.mostLoad = settings_.loadMultiple * load / double(std::max<size_t>(1, usable))
+    gathered.mostLoad = settings_.loadMultiple * load / double(std::max<size_t>(1, alive))
             + settings_.loadAllowance;
     return gathered;
 }
--- a/routing/testing/direct_test.cc
+++ b/routing/testing/direct_test.cc
@@ -290,6 +290,24 @@
         CHECK(count <= 10);
 }
 
+// Load pattern: a data centre is out while the others carry its load; the mean that
+// engines are held against is over all that are alive.
+TEST_CASE("engines of a data centre that is out count for the mean")
+{
+    Site site(12); // every second engine is in dc2
+    site.out = { "dc2" };
+    site.refresh(kStart);
+    std::vector<EndpointUse> others;
+    for (int i = 0; i < 12; i += 2)
+        others.push_back({ endpointKey("e" + std::to_string(i)), i == 0 ? 7U : 3U, 0 });
+    site.board.setOthers(others);
+    // 22 requests over 12 engines: with another one, e0 would hold 8 of at most 2 x 1.8 + 3.
+    for (uint64_t document = 100; document < 200; ++document) {
+        const auto asked = prompt(document, 1);
+        CHECK(site.idOf(site.board.place(site.request(asked), kStart, 0.5)->key) != "e0");
+    }
+}
+
 // Load pattern: the same for the few endpoints of a plain service.
 TEST_CASE("plain requests spread over endpoints that look alike or nearly so")
 {
