--- a/control/logstore.cc
+++ b/control/logstore.cc
@@ -128,6 +128,13 @@
     return payload;
 }
 
+static std::string encodeCommit(LogIndex commit)
+{
+    std::string payload;
+    put(payload, commit);
+    return payload;
+}
+
 static std::string encodeSnapshot(const Snapshot &snapshot)
 {
     const std::string membership = encodeMembership(snapshot.membership);
@@ -191,6 +198,12 @@
         stored.hardState = { get<uint64_t>(record.payload, 0), get<uint64_t>(record.payload, 8) };
         return true;
     }
+    if (record.type == RecordType::Commit) {
+        if (record.payload.size() != 8)
+            return false;
+        stored.commit = std::max(stored.commit, get<uint64_t>(record.payload, 0));
+        return true;
+    }
     if (record.type != RecordType::Entry)
         return false;
     auto entry = decodeEntry(record.payload);
@@ -292,6 +305,7 @@
         return tl::unexpected(synced.error());
     length_ = offset;
     hardState_ = opened.stored.hardState;
+    commit_ = opened.stored.commit;
     return opened;
 }
 
@@ -300,6 +314,8 @@
     using namespace detail;
     if (output.hardState)
         hardState_ = *output.hardState;
+    const bool committedMore = output.commit > commit_;
+    commit_ = std::max(commit_, output.commit);
     if (output.installed)
         return storeSnapshot(*output.installed, output.entries);
     std::string records;
@@ -309,6 +325,8 @@
         records += encodeRecord(RecordType::Entry, length_, encodeEntry(entry));
     if (records.empty())
         return {};
+    if (committedMore)
+        records += encodeRecord(RecordType::Commit, length_, encodeCommit(commit_));
     return guarded([&] { return appendRecords(records); });
 }
 
@@ -353,6 +371,7 @@
     std::string records = encodeRecord(RecordType::HardState, 0, encodeHardState(hardState_));
     for (const LogEntry &entry : entries)
         records += encodeRecord(RecordType::Entry, 0, encodeEntry(entry));
+    records += encodeRecord(RecordType::Commit, 0, encodeCommit(commit_));
     if (auto wrote = writeWhole(generationName("log", generation), records); !wrote)
         return wrote;
     const uint64_t older = generation_;
--- a/control/logstore.h
+++ b/control/logstore.h
@@ -4,6 +4,8 @@
 //   identity        the replica's id, written once
 //   log-<n>         records, appended and synced; n grows with each snapshot
 //   snapshot-<n>    the state that log-<n> goes on from
+// Beside hard states and entries a log holds how far it was known to be committed
+// when something was stored last.
 //
 // A record is a fixed header and a payload:
 //   magic u32 | type u8 | length u32 | synced u64 | checksum u64 | payload
@@ -60,12 +62,19 @@
     uint64_t generation_ = 0;
     uint64_t length_ = 0;
     HardState hardState_;
+    LogIndex commit_ = 0; // as last stored
     bool failed_ = false;
 };
 
 namespace detail {
 
-enum class RecordType : uint8_t { HardState = 1, Entry = 2, Snapshot = 3, Identity = 4 };
+enum class RecordType : uint8_t {
+    HardState = 1,
+    Entry = 2,
+    Snapshot = 3,
+    Identity = 4,
+    Commit = 5
+};
 
 std::string encodeRecord(RecordType type, uint64_t synced, std::string_view payload);
 
--- a/control/raft.cc
+++ b/control/raft.cc
@@ -87,6 +87,7 @@
                 memberships_[entry.index] = *membership;
         }
     }
+    commitTo(std::min(stored.commit, lastIndex()));
     resetElectionTimer(now);
 }
 
@@ -231,6 +232,7 @@
 {
     RaftOutput output;
     std::swap(output, output_);
+    output.commit = commit_;
     return output;
 }
 
--- a/control/raft.h
+++ b/control/raft.h
@@ -105,6 +105,7 @@
     HardState hardState;
     Snapshot snapshot;
     std::vector<LogEntry> entries; // those after the snapshot, in order
+    LogIndex commit = 0; // known to be committed when something was stored last
 };
 
 enum class RaftMessageKind : uint8_t {
@@ -140,6 +141,9 @@
     std::optional<HardState> hardState;
     std::optional<Snapshot> installed; // replaces the whole log
     std::vector<LogEntry> entries; // the first index truncates what stood from there on
+    // Stored along with the above, never for itself: a restart applies what was committed
+    // without waiting for a leader.
+    LogIndex commit = 0;
 
     std::vector<RaftMessage> messages;
     std::vector<LogEntry> committed;
--- a/control/testing/logstore_test.cc
+++ b/control/testing/logstore_test.cc
@@ -73,6 +73,43 @@
     REQUIRE(opened->stored.entries.size() == 1);
 }
 
+TEST_CASE("how far the log was committed is read back, also from a new generation")
+{
+    FakeDisk disk;
+    LogStore store(disk.disk());
+    REQUIRE(store.open(1));
+    REQUIRE(store.store(outputOf({ command(1, 1, "a"), command(2, 1, "b") }, HardState { 1, 1 })));
+    RaftOutput output = outputOf({ command(3, 1, "c") });
+    output.commit = 2;
+    REQUIRE(store.store(output));
+    LogStore again(disk.disk());
+    const auto opened = again.open(1);
+    REQUIRE(opened);
+    CHECK(opened->stored.commit == 2);
+    Snapshot snapshot;
+    snapshot.index = 1;
+    snapshot.term = 1;
+    REQUIRE(again.storeSnapshot(snapshot, { command(2, 1, "b"), command(3, 1, "c") }));
+    LogStore third(disk.disk());
+    const auto later = third.open(1);
+    REQUIRE(later);
+    CHECK(later->stored.commit == 2);
+    CHECK(later->stored.entries.size() == 2);
+}
+
+TEST_CASE("a commit alone is not worth a write")
+{
+    FakeDisk disk;
+    LogStore store(disk.disk());
+    REQUIRE(store.open(1));
+    REQUIRE(store.store(outputOf({ command(1, 1, "a") })));
+    const size_t length = disk.files().at("log-1")->bytes.size();
+    RaftOutput output;
+    output.commit = 1;
+    REQUIRE(store.store(output));
+    CHECK(disk.files().at("log-1")->bytes.size() == length);
+}
+
 TEST_CASE("a torn tail is cut, whatever its length")
 {
     for (size_t kept = 0; kept < 40; ++kept) {
--- a/control/testing/raft_test.cc
+++ b/control/testing/raft_test.cc
@@ -116,6 +116,24 @@
     CHECK(raft.commitIndex() == 3);
 }
 
+// After a power loss of all, what is known to be committed serves before there is a leader.
+TEST_CASE("a restarted replica applies what it knew to be committed, and no more", "[raft]")
+{
+    StoredLog stored;
+    stored.hardState = { 2, kNoReplica };
+    for (LogIndex index = 1; index <= 3; ++index)
+        stored.entries.push_back({ index, 1, EntryKind::Command, std::to_string(index) });
+    stored.commit = 2;
+    Raft raft(1, {}, stored, 1, Instant { seconds(100) });
+    const RaftOutput output = raft.takeOutput();
+    REQUIRE(output.committed.size() == 2);
+    CHECK(output.committed.back().data == "2");
+    CHECK_FALSE(raft.maySpeak(Instant { seconds(100) }));
+    stored.commit = 9; // longer than the log: its end was torn off
+    Raft torn(1, {}, stored, 1, Instant { seconds(100) });
+    CHECK(torn.commitIndex() == 3);
+}
+
 TEST_CASE("a replica that was cut off does not disturb the leader on its return", "[raft]")
 {
     Cluster cluster(3, 3);
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -28,8 +28,8 @@
 };
 constexpr ReturnTime kWhenPlaceFree { std::chrono::milliseconds(250),
                                       std::chrono::milliseconds(400) };
-constexpr ReturnTime kWhenFleetReady { std::chrono::milliseconds(1500),
-                                       std::chrono::milliseconds(1000) };
+constexpr ReturnTime kWhenFleetReady { std::chrono::milliseconds(800),
+                                       std::chrono::milliseconds(800) };
 constexpr ReturnTime kAtOnce { std::chrono::milliseconds(20), std::chrono::milliseconds(80) };
 
 std::string millisText(Duration duration)
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -127,15 +127,18 @@
         refuse(active, Refusal::NotReady, "no routes are known yet");
         return false;
     }
+    // The routes of a router that has just started may be older than those in force.
+    const bool sure = sync_->isReady(active.arrivedAt);
     active.route = active.table->match(active.caller.host, active.request.pathOnly());
     if (!active.route) {
-        refuse(active, Refusal::NoRoute, "no route matches host and path");
+        refuse(active, sure ? Refusal::NoRoute : Refusal::NotReady,
+               "no route matches host and path");
         return false;
     }
     const Route &route = *active.route;
     const Workspace *workspace = active.table->workspaceOfKey(active.caller.accessKey);
     if (active.table->hasWorkspaces() && !route.anonymous && !workspace) {
-        refuse(active, Refusal::BadKey, "the access key is not known");
+        refuse(active, sure ? Refusal::BadKey : Refusal::NotReady, "the access key is not known");
         return false;
     }
     active.priority = route.priority;
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -36,6 +36,9 @@
 // Each router adds this to the interval, so that a replica's work stays bounded in
 // a large fleet: 2,000 reports a second would take a fifth of a core.
 constexpr Duration kIntervalPerRouter = std::chrono::milliseconds(8);
+// Between reports of a router that has no routes yet: a few crossings, so that it
+// serves as soon as a leader is there.
+constexpr Duration kIntervalWithoutRoutes = std::chrono::milliseconds(50);
 constexpr size_t kMaxCrashesKept = 256;
 constexpr size_t kMaxPlacementsSent = 256;
 
@@ -104,8 +107,8 @@
         if (!link.inFlight && now >= link.askAgainAt)
             sync(address);
     }
-    const Duration interval
-            = std::max<Duration>(settings_.interval, fleet_.routers * kIntervalPerRouter);
+    const Duration least = table_ ? settings_.interval : kIntervalWithoutRoutes;
+    const Duration interval = std::max<Duration>(least, fleet_.routers * kIntervalPerRouter);
     loop_.detach(loop_.sleep(interval).then([this]() { syncAll(); }), "sync");
 }
 
@@ -244,7 +247,9 @@
                        { "replica", address } });
         }
     }
-    if (reply.getReplicas().size() > 0 && reply.getCurrent()) {
+    // After a power loss of all, seeds may be the replicas that lost their disks; any
+    // other's old list finds the rest.
+    if (reply.getReplicas().size() > 0 && (reply.getCurrent() || members_.empty())) {
         std::vector<std::string> members;
         for (const auto member : reply.getReplicas())
             members.emplace_back(toView(member));
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -260,6 +260,36 @@
     fleet.install(8)
 
 
+def restart_without_leader(fleet):
+    """Power fails everywhere and one replica of five is back: routers serve what it knew to
+    be committed, refuse what they can't be sure of, and say that they aren't ready."""
+    served(fleet)
+    fleet.install(8)  # stored with it: version 7 is committed
+    everyone = fleet.replicas + fleet.routers
+    for node in everyone:
+        node.kill()
+    for node in fleet.replicas[:1] + fleet.routers:
+        node.write_settings(first_start=False)
+        node.start()
+    started = time.monotonic()
+
+    def answers(path, status):
+        try:
+            return fleet.ask(path)[0] == status
+        except OSError:
+            return False
+    wait_for(lambda: answers("/read/1", 200), 2.5, "a request is served without a leader")
+    status, headers, _ = fleet.ask("/added-later/")
+    assert status == 503 and float(headers["Retry-After"]) > 0, status
+    assert time.monotonic() - started < 3, "the router trusts any replica by now: nothing shown"
+    assert call(fleet.routers[0].address("readiness"), "GET", "/v1/readyz")[0] == 503
+    for node in fleet.replicas[1:]:
+        node.write_settings(first_start=False)
+        node.start()
+    wait_for(lambda: fleet.voters() == 5, 20, "the group is back")
+    wait_for(lambda: fleet.ask("/added-later/")[0] == 404, 5, "routers are sure again")
+
+
 def lost_disks(fleet):
     served(fleet)
     assert fleet.control("POST", "/v1/evacuations/dc3")[0] == 200
