Large fleets: routers spread over their sources of news, compact endpoint records

With a record of 170 bytes for each changed endpoint and router the links of 6 Mbit/s filled, heartbeats were acknowledged too late, endpoints moved on, and every move cost a record for each router again: no way back. Change: rendezvous hashing over the replicas that answer; records packed and deflated (node/rosterwire), at most 64 in an answer of a large fleet, oldest first; a list of replicas goes only to routers that have another one.

--- a/fleet/roster.cc
+++ b/fleet/roster.cc
@@ -92,18 +92,29 @@
     }
 }
 
-RosterChanges HeardRoster::changesSince(uint64_t epoch, uint64_t version, Instant now) const
+RosterChanges HeardRoster::changesSince(uint64_t epoch, uint64_t version, Instant now,
+                                        size_t most) const
 {
     RosterChanges changes;
     changes.epoch = epoch_;
     changes.version = version_;
     changes.full = epoch != epoch_;
+    std::vector<const Entry *> changed;
     for (const auto &[id, entry] : entries_) {
-        if (!changes.full && entry.changedAt <= version)
-            continue;
-        changes.records.push_back(entry.record);
+        if (changes.full || entry.changedAt > version)
+            changed.push_back(&entry);
+    }
+    if (changed.size() > most) {
+        std::sort(changed.begin(), changed.end(), [](const Entry *left, const Entry *right) {
+            return left->changedAt < right->changedAt;
+        });
+        changed.resize(most);
+        changes.version = changed.back()->changedAt;
+    }
+    for (const Entry *entry : changed) {
+        changes.records.push_back(entry->record);
         changes.records.back().warmupLeftMillis
-                = static_cast<uint32_t>(std::max<int64_t>(0, toMillis(entry.coldUntil - now)));
+                = static_cast<uint32_t>(std::max<int64_t>(0, toMillis(entry->coldUntil - now)));
     }
     return changes;
 }
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -76,7 +76,10 @@
     // Marks endpoints that fell silent and forgets those long gone.
     void tick(Instant now);
 
-    RosterChanges changesSince(uint64_t epoch, uint64_t version, Instant now) const;
+    // The oldest `most` changes after a version; the version of the result says how far
+    // they reach.
+    RosterChanges changesSince(uint64_t epoch, uint64_t version, Instant now,
+                               size_t most = SIZE_MAX) const;
     uint64_t epoch() const { return epoch_; }
     uint64_t version() const { return version_; }
     size_t size() const { return entries_.size(); }
--- a/fleet/routerboard.cc
+++ b/fleet/routerboard.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <unordered_map>
 
+#include "base/hash.h"
+
 namespace bamboogap {
 
 namespace {
@@ -56,6 +58,25 @@
     }
 }
 
+std::string sourceOfOthers(std::string_view router, std::span<const std::string> replicas)
+{
+    const uint64_t own = hashBytes(router);
+    const auto score
+            = [own](const std::string &replica) { return combineHashes(own, hashBytes(replica)); };
+    const auto best = std::max_element(
+            replicas.begin(), replicas.end(),
+            [&](const auto &left, const auto &right) { return score(left) < score(right); });
+    return best == replicas.end() ? std::string() : *best;
+}
+
+uint64_t digestOf(std::span<const std::string> replicas)
+{
+    uint64_t digest = 0;
+    for (const std::string &replica : replicas)
+        digest = combineHashes(digest, hashBytes(replica));
+    return digest;
+}
+
 void RouterBoard::report(RouterReport report, Instant now)
 {
     Entry &entry = routers_[report.name];
--- a/fleet/routerboard.h
+++ b/fleet/routerboard.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,13 @@
 // among the bytes get zeros. Bytes that are no whole entry are ignored.
 void unpackUses(std::string_view bytes, std::vector<EndpointUse> &uses);
 
+// The replica that tells a router of the others' work, chosen by rendezvous hashing:
+// routers spread over the replicas, and only those of a lost one move. Empty for none.
+std::string sourceOfOthers(std::string_view router, std::span<const std::string> replicas);
+
+// Identifies a list of replicas, so that it is sent only to those who have another one.
+uint64_t digestOf(std::span<const std::string> replicas);
+
 struct RouterReport
 {
     std::string name;
--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -189,6 +189,61 @@
     CHECK(known[2] == EndpointUse { 7, 0, 0 });
 }
 
+// Load pattern: a thousand endpoints register while routers start; the answers to their
+// heartbeats must not wait behind whole rosters.
+TEST_CASE("a large roster is told in parts that add up to it")
+{
+    HeardRoster heard(5, seconds(5));
+    constexpr size_t kEndpoints = 200;
+    for (size_t i = 0; i < kEndpoints; ++i)
+        heard.heartbeat(record("e" + std::to_string(i), 1, 1), kStart);
+    MergedRoster merged;
+    uint64_t epoch = 4;
+    uint64_t version = 99; // of an earlier process of the replica
+    for (int round = 1; round <= 4; ++round) {
+        const auto changes = heard.changesSince(epoch, version, kStart, 64);
+        CHECK(changes.full == (round == 1));
+        CHECK(changes.records.size() <= 64);
+        merged.apply("r", changes, kStart);
+        epoch = changes.epoch;
+        version = changes.version;
+        // One that is known changes again while the rest is still on its way.
+        heard.heartbeat(record("e0", 1, 1 + round), kStart);
+        heard.leave("e1", 100 + round, kStart);
+    }
+    CHECK(merged.endpoints().size() == kEndpoints);
+    merged.apply("r", heard.changesSince(epoch, version, kStart, 64), kStart);
+    CHECK(merged.endpoints().at("e1").record.state == EndpointState::Gone);
+    CHECK(heard.changesSince(epoch, heard.version(), kStart, 64).records.empty());
+}
+
+// Load pattern: all routers start at once, and the first replica to answer would have to
+// tell all of them.
+TEST_CASE("routers spread over the replicas that tell them of each other")
+{
+    std::vector<std::string> replicas;
+    for (int i = 1; i <= 5; ++i)
+        replicas.push_back("10.1.0." + std::to_string(i) + ":7400");
+    std::map<std::string, int> routersOf;
+    std::map<std::string, std::string> before;
+    for (int i = 0; i < 400; ++i) {
+        const std::string router = "edge-" + std::to_string(i);
+        before[router] = sourceOfOthers(router, replicas);
+        ++routersOf[before[router]];
+    }
+    for (const std::string &replica : replicas) {
+        CHECK(routersOf[replica] >= 40);
+        CHECK(routersOf[replica] <= 120);
+    }
+    const std::string lost = replicas.back();
+    replicas.pop_back();
+    for (const auto &[router, source] : before) {
+        if (source != lost)
+            CHECK(sourceOfOthers(router, replicas) == source);
+    }
+    CHECK(sourceOfOthers("edge-1", {}).empty());
+}
+
 // Load pattern: a thousand endpoints before a hundred routers on a 6 Mbit/s link.
 TEST_CASE("telling a router of the others' work keeps to its bytes a second")
 {
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -9,6 +9,7 @@
 #include "base/compress.h"
 #include "base/log.h"
 #include "node/convert.h"
+#include "node/rosterwire.h"
 
 namespace bamboogap {
 
@@ -28,6 +29,12 @@
 constexpr size_t kPlacementsInRound = 3000;
 constexpr size_t kMaxPlacementsTold = 512;
 
+// Endpoint records told in one answer, so that a full roster does not hold up the
+// acknowledgements of heartbeats: at 30 bytes a record and 8 ms a router, 240 kB/s. In a
+// small fleet a round takes 250 ms whatever its size, and as many bytes go to fewer routers.
+constexpr size_t kRecordsTold = 64;
+constexpr size_t kRecordsInShortRound = 2000;
+
 SuspectLimits suspectLimits()
 {
     SuspectLimits limits;
@@ -41,25 +48,6 @@
     return ((uint64_t { device() } << 32) | device()) | 1;
 }
 
-void write(const EndpointRecord &record, wire::EndpointRecord::Builder builder)
-{
-    builder.setId(record.id);
-    builder.setBornMillis(record.bornMillis);
-    builder.setSequence(record.sequence);
-    builder.setService(record.service);
-    builder.setAddress(record.address);
-    builder.setDataCentre(record.dataCentre);
-    builder.setSlots(record.slots);
-    builder.setWarmupLeftMillis(record.warmupLeftMillis);
-    builder.setState(static_cast<uint8_t>(record.state));
-    builder.setHeard(record.heard);
-    auto models = builder.initModels(record.models.size());
-    for (size_t i = 0; i < record.models.size(); ++i) {
-        models[i].setName(record.models[i].name);
-        models[i].setVersion(record.models[i].version);
-    }
-}
-
 tl::unexpected<Error> noLeader()
 {
     return failure(ErrorKind::NoLeader, "no leader of the control group is known here",
@@ -180,14 +168,15 @@
     unsigned index = 0;
     for (const std::string &dataCentre : deployment.dataCentresOut())
         out.set(index++, dataCentre);
+    const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
     const RosterChanges changes
-            = roster_.changesSince(request.getRosterEpoch(), request.getRosterVersion(), now);
+            = roster_.changesSince(request.getRosterEpoch(), request.getRosterVersion(), now,
+                                   std::max(kRecordsTold, kRecordsInShortRound / routers));
     reply.setRosterEpoch(changes.epoch);
     reply.setRosterVersion(changes.version);
     reply.setRosterFull(changes.full);
-    auto records = reply.initChanged(changes.records.size());
-    for (size_t i = 0; i < changes.records.size(); ++i)
-        write(changes.records[i], records[i]);
+    const std::string records = packRecords(changes.records);
+    reply.setChanged(toData(records));
     if (request.getWantsOthers() && routers_.mayTellUses(name, roster_.size() * 8, now)) {
         reply.setHasUses(true);
         const std::string uses = packUses(routers_.usesOfOthers(name, now));
@@ -195,10 +184,14 @@
     }
     reply.setRouters(routers_.aliveCount(now));
     reply.setRank(routers_.rankOf(name, now));
-    const auto &members = control_.membership().members;
-    auto replicas = reply.initReplicas(members.size());
-    for (size_t i = 0; i < members.size(); ++i)
-        replicas.set(i, members[i].address);
+    std::vector<std::string> members;
+    for (const Replica &member : control_.membership().members)
+        members.push_back(member.address);
+    if (request.getReplicasDigest() != digestOf(members)) {
+        auto replicas = reply.initReplicas(members.size());
+        for (size_t i = 0; i < members.size(); ++i)
+            replicas.set(i, members[i]);
+    }
     reply.setSuspectsVersion(quarantineVersion_);
     if (request.getSuspectsVersion() != quarantineVersion_) {
         reply.setHasSuspects(true);
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "node/convert.h"
+#include "node/rosterwire.h"
 
 namespace bamboogap {
 
@@ -42,25 +43,6 @@
 constexpr size_t kMaxCrashesKept = 256;
 constexpr size_t kMaxPlacementsSent = 256;
 
-EndpointRecord read(wire::EndpointRecord::Reader reader)
-{
-    EndpointRecord record;
-    record.id = toView(reader.getId());
-    record.bornMillis = reader.getBornMillis();
-    record.sequence = reader.getSequence();
-    record.service = toView(reader.getService());
-    record.address = toView(reader.getAddress());
-    record.dataCentre = toView(reader.getDataCentre());
-    record.slots = reader.getSlots();
-    record.warmupLeftMillis = reader.getWarmupLeftMillis();
-    record.state = static_cast<EndpointState>(
-            std::min<uint8_t>(reader.getState(), static_cast<uint8_t>(EndpointState::Gone)));
-    record.heard = reader.getHeard();
-    for (const auto model : reader.getModels())
-        record.models.push_back({ std::string(toView(model.getName())), model.getVersion() });
-    return record;
-}
-
 } // namespace
 
 SyncTask::SyncTask(EventLoop &loop, Peers &peers, SyncSettings settings, Hooks hooks)
@@ -100,7 +82,7 @@
 {
     const Instant now = BootClock::now();
     markLost(now);
-    chooseTeller();
+    chooseSource();
     for (PromptPlacement &placement : hooks_.takePlacements())
         placements_.add({}, std::move(placement));
     for (auto &[address, link] : links_) {
@@ -112,21 +94,14 @@
     loop_.detach(loop_.sleep(interval).then([this]() { syncAll(); }), "sync");
 }
 
-// Routers spread over the replicas that can tell them.
-void SyncTask::chooseTeller()
+void SyncTask::chooseSource()
 {
-    const auto current = links_.find(teller_);
-    if (current != links_.end() && current->second.reachable)
-        return;
-    teller_.clear();
-    uint64_t best = 0;
+    std::vector<std::string> reachable;
     for (const auto &[address, link] : links_) {
-        const uint64_t score = hashBytes(address, hashBytes(settings_.name));
-        if (link.reachable && (teller_.empty() || score > best)) {
-            best = score;
-            teller_ = address;
-        }
+        if (link.reachable)
+            reachable.push_back(address);
     }
+    sourceOfOthers_ = sourceOfOthers(settings_.name, reachable);
 }
 
 // A replica's word on endpoints ends with the connection to it, but only while
@@ -171,8 +146,9 @@
     uint64_t placementsSent = link.placementsSent;
     const auto placed = placements_.since(placementsSent, "-", kMaxPlacementsSent);
     write(placed, request.initPlacements(placed.size()));
-    request.setWantsOthers(address == teller_);
+    request.setWantsOthers(address == sourceOfOthers_);
     request.setPlacementsVersion(link.placementsVersion);
+    request.setReplicasDigest(digestOf(members_));
     link.inFlight = true;
     const Duration limit = link.reachable
             ? std::max<Duration>(kAnswerLimit, fleet_.routers * kAnswerPerRouter)
@@ -227,12 +203,16 @@
     changes.epoch = reply.getRosterEpoch();
     changes.version = reply.getRosterVersion();
     changes.full = reply.getRosterFull();
-    for (const auto record : reply.getChanged())
-        changes.records.push_back(read(record));
     roster_.setReachable(address, true);
-    roster_.apply(address, changes, now);
-    link.rosterEpoch = changes.epoch;
-    link.rosterVersion = changes.version;
+    if (auto records = unpackRecords(toView(reply.getChanged()))) {
+        changes.records = std::move(*records);
+        roster_.apply(address, changes, now);
+        link.rosterEpoch = changes.epoch;
+        link.rosterVersion = changes.version;
+    } else {
+        logEvent(LogLevel::Error, "endpoints_unreadable",
+                 { { "replica", address }, { "problem", records.error().message } });
+    }
 
     if (reply.getRevision() > deploymentRevision_) {
         deploymentRevision_ = reply.getRevision();
@@ -258,7 +238,7 @@
             followReplicas();
         }
     }
-    if (reply.getHasUses() && address == teller_) {
+    if (reply.getHasUses() && address == sourceOfOthers_) {
         others_.clear();
         for (const auto &[id, endpoint] : roster_.endpoints())
             others_.push_back({ endpoint.key, 0, 0 });
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -92,7 +92,7 @@
         Duration retryAfter {};
         size_t crashesSent = 0; // of crashes_ that the replica has
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
-        uint64_t placementsVersion = 0; // of others' placements, if it is the teller
+        uint64_t placementsVersion = 0; // of others' placements, if it is their source
     };
 
     void syncAll();
@@ -104,7 +104,7 @@
     void followReplicas();
     void markLost(Instant now);
     std::vector<std::string> targets() const;
-    void chooseTeller();
+    void chooseSource();
 
     EventLoop &loop_;
     Peers &peers_;
@@ -121,7 +121,7 @@
     std::map<Fingerprint, Standing> suspects_;
     std::vector<Crash> crashes_;
     PlacementLog placements_; // of this router, until every replica has them
-    std::string teller_; // the replica that tells what the other routers do
+    std::string sourceOfOthers_; // the replica that tells what the other routers do
     bool fetching_ = false;
     bool leaving_ = false;
     Instant startedAt_ {};
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -203,6 +203,10 @@
   models @10 :List(ModelOffer);
 }
 
+struct EndpointRecords {
+  records @0 :List(EndpointRecord);
+}
+
 # What one router has under way at an endpoint.
 struct EndpointUse {
   key @0 :UInt64;
@@ -239,6 +243,7 @@
   placements @10 :List(PromptPlacement);  # since the last sync that was answered
   wantsOthers @11 :Bool;  # one replica tells a router what the others do
   placementsVersion @12 :UInt64;
+  replicasDigest @13 :UInt64;  # of the list that the router has
 }
 
 struct SyncReply {
@@ -249,10 +254,10 @@
   rosterEpoch @4 :UInt64;
   rosterVersion @5 :UInt64;
   rosterFull @6 :Bool;
-  changed @7 :List(EndpointRecord);
+  changed @7 :Data;  # endpoint records; see node/rosterwire.h
   uses @8 :Data;  # of all other routers together; see fleet/routerboard.h
   routers @9 :UInt16;  # heard a moment ago, this one included
-  replicas @10 :List(Text);
+  replicas @10 :List(Text);  # empty if the router has the same list
   suspectsVersion @11 :UInt64;
   suspects @12 :List(SuspectChange);
   hasSuspects @13 :Bool;
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -51,6 +51,7 @@
 CAPNP_DECLARE_SCHEMA(89bac7580ddc632f);
 CAPNP_DECLARE_SCHEMA(9248cbf7fee31fe9);
 CAPNP_DECLARE_SCHEMA(ad9f990f42731555);
+CAPNP_DECLARE_SCHEMA(b6ad3e6a94077622);
 CAPNP_DECLARE_SCHEMA(b4717f845e96b26c);
 CAPNP_DECLARE_SCHEMA(adae6e5e44840763);
 CAPNP_DECLARE_SCHEMA(ce0a718398872f24);
@@ -390,6 +391,21 @@
   };
 };
 
+struct EndpointRecords {
+  EndpointRecords() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b6ad3e6a94077622, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EndpointUse {
   EndpointUse() = delete;
 
@@ -458,7 +474,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 8, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3288,6 +3304,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class EndpointRecords::Reader {
+public:
+  typedef EndpointRecords Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointRecords::Builder {
+public:
+  typedef EndpointRecords Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointRecords::Pipeline {
+public:
+  typedef EndpointRecords Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EndpointUse::Reader {
 public:
   typedef EndpointUse Reads;
@@ -3675,6 +3772,8 @@
 
   inline  ::uint64_t getPlacementsVersion() const;
 
+  inline  ::uint64_t getReplicasDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3762,6 +3861,9 @@
   inline  ::uint64_t getPlacementsVersion();
   inline void setPlacementsVersion( ::uint64_t value);
 
+  inline  ::uint64_t getReplicasDigest();
+  inline void setReplicasDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3821,7 +3923,7 @@
   inline bool getRosterFull() const;
 
   inline bool hasChanged() const;
-  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader getChanged() const;
+  inline  ::capnp::Data::Reader getChanged() const;
 
   inline bool hasUses() const;
   inline  ::capnp::Data::Reader getUses() const;
@@ -3902,11 +4004,11 @@
   inline void setRosterFull(bool value);
 
   inline bool hasChanged();
-  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder getChanged();
-  inline void setChanged( ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder initChanged(unsigned int size);
-  inline void adoptChanged(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>> disownChanged();
+  inline  ::capnp::Data::Builder getChanged();
+  inline void setChanged( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initChanged(unsigned int size);
+  inline void adoptChanged(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownChanged();
 
   inline bool hasUses();
   inline  ::capnp::Data::Builder getUses();
@@ -9788,6 +9890,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool EndpointRecords::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointRecords::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader EndpointRecords::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder EndpointRecords::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointRecords::Builder::setRecords( ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder EndpointRecords::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointRecords::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>> EndpointRecords::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t EndpointUse::Reader::getKey() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10236,6 +10372,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SyncRequest::Reader::getReplicasDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getReplicasDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setReplicasDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SyncReply::Reader::getCurrent() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10366,29 +10516,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getChanged() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader SyncReply::Reader::getChanged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getChanged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder SyncReply::Builder::getChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SyncReply::Builder::setChanged( ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncReply::Builder::setChanged( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initChanged(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder SyncReply::Builder::initChanged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void SyncReply::Builder::adoptChanged(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownChanged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::EndpointRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> SyncReply::Builder::disownChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
