A departure is acknowledged once a majority of the replicas holds it

Cause: core-jm-a-1 acknowledged the departure at 27.945 s and lost power at 28.09 s, before every router had asked it. An endpoint announces its departure once; only the replica that was told knew it. Ruled out: slow reports; routers in touch ask each replica every 250 ms. Change: before it answers, the replica passes the departure on to the others, and answers 503 unless a majority, itself included, holds it within 0.4 s.

--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -18,6 +18,8 @@
 // The operator asks another replica after a second without an answer; a call to the
 // leader has to end before that.
 constexpr Duration kLeaderLimit = std::chrono::milliseconds(850);
+// Other replicas answer within a few crossings; an endpoint gives up after a second.
+constexpr Duration kDepartureLimit = std::chrono::milliseconds(400);
 constexpr Duration kTick = std::chrono::milliseconds(500);
 // Crashes of different endpoints under one request before it is refused everywhere.
 // Two leave room for an innocent request that met two crashes in a row.
@@ -69,6 +71,13 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> endpointDeparts(EndpointDepartsContext context) override
+    {
+        const auto told = context.getParams();
+        front_.noteDeparture(toView(told.getId()), toView(told.getRecord()), told.getWallMillis());
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> routes(RoutesContext context) override
     {
         const Deployment &deployment = control()->deployment();
@@ -247,10 +256,88 @@
 }
 
 // Routers in touch reach every replica that is in touch with the majority; one that
-// is cut off from it must not vouch that they will know.
-bool ReplicaFront::mayAcknowledgeDeparture() const
+// is cut off from it must not vouch that they will know. And an endpoint announces its
+// departure once only: the loss of the replica that acknowledged it must not lose it.
+void ReplicaFront::answerDeparture(ExchangeId exchange, const std::string &endpointId,
+                                   std::span<const EndpointRecord> record, int64_t wallMillis)
+{
+    if (!control_.isCurrent()) {
+        replyError(exchange, noLeader().value());
+        return;
+    }
+    loop_.detach(shareDeparture(endpointId, record, wallMillis).then([=, this](bool held) {
+        if (held) {
+            reply(exchange, 200, "{}");
+            return;
+        }
+        logEvent(LogLevel::Warning, "departure_not_acknowledged",
+                 { { "endpoint", endpointId }, { "reason", "no majority of replicas holds it" } });
+        replyError(exchange, noLeader().value());
+    }),
+                 "departure");
+}
+
+kj::Promise<bool> ReplicaFront::shareDeparture(const std::string &endpointId,
+                                               std::span<const EndpointRecord> record,
+                                               int64_t wallMillis)
+{
+    const std::vector<Replica> &members = control_.membership().members;
+    const auto voters = std::count_if(members.begin(), members.end(),
+                                      [](const Replica &member) { return member.voter; });
+    struct Count
+    {
+        Count(size_t wanted, kj::Own<kj::PromiseFulfiller<bool>> fulfiller)
+            : missing(wanted)
+            , done(kj::mv(fulfiller))
+        {
+        }
+        size_t missing;
+        kj::Own<kj::PromiseFulfiller<bool>> done;
+    };
+    const size_t wanted = static_cast<size_t>(voters) / 2; // this replica is one more
+    if (wanted == 0)
+        return true;
+    auto held = kj::newPromiseAndFulfiller<bool>();
+    const auto count = std::make_shared<Count>(wanted, kj::mv(held.fulfiller));
+    const std::string packed = packRecords(record);
+    for (const Replica &member : members) {
+        if (!member.voter || member.address == settings_.address)
+            continue;
+        auto request = peers_.node(member.address, Lane::Control).endpointDepartsRequest();
+        request.setId(endpointId);
+        request.setRecord(toData(packed));
+        request.setWallMillis(wallMillis);
+        loop_.detach(loop_.within(kDepartureLimit, request.send().ignoreResult())
+                             .then(
+                                     [count] {
+                                         if (--count->missing == 0)
+                                             count->done->fulfill(true);
+                                     },
+                                     [](kj::Exception &&) {}), // shows in the count
+                     "share a departure");
+    }
+    return loop_.within(kDepartureLimit, kj::mv(held.promise)).catch_([](kj::Exception &&) {
+        return false;
+    });
+}
+
+void ReplicaFront::noteDeparture(std::string_view endpointId, std::string_view record,
+                                 int64_t wallMillis)
 {
-    return control_.isCurrent();
+    const Instant now = BootClock::now();
+    if (record.empty()) {
+        roster_.leave(endpointId, wallMillis, now);
+        return;
+    }
+    auto records = unpackRecords(record);
+    if (!records) {
+        logEvent(LogLevel::Error, "departure_unreadable",
+                 { { "endpoint", std::string(endpointId) },
+                   { "problem", records.error().message } });
+        return;
+    }
+    for (EndpointRecord &departing : *records)
+        roster_.heartbeat(std::move(departing), now);
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const HeartbeatOrder &order, const HttpRequest &)
@@ -268,22 +355,18 @@
                    { "cold_ms", fmt::to_string(order.record.warmupLeftMillis) },
                    { "sequence", fmt::to_string(order.record.sequence) } });
     }
-    if (draining && !mayAcknowledgeDeparture()) {
-        replyError(exchange, noLeader().value());
-        return;
-    }
-    reply(exchange, 200, "{}");
+    if (draining)
+        answerDeparture(exchange, id, std::span(&order.record, 1), 0);
+    else
+        reply(exchange, 200, "{}");
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const LeaveOrder &order, const HttpRequest &)
 {
-    roster_.leave(order.endpointId, wallClockMillis(), BootClock::now());
+    const int64_t wallMillis = wallClockMillis();
+    roster_.leave(order.endpointId, wallMillis, BootClock::now());
     logEvent(LogLevel::Info, "endpoint_left", { { "endpoint", order.endpointId } });
-    if (!mayAcknowledgeDeparture()) {
-        replyError(exchange, noLeader().value());
-        return;
-    }
-    reply(exchange, 200, "{}");
+    answerDeparture(exchange, order.endpointId, {}, wallMillis);
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const InstallRoutesOrder &order,
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -40,6 +40,8 @@
     void handle(ExchangeId exchange, const HttpRequest &request);
 
     void sync(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply);
+    // Another replica was told of a departure.
+    void noteDeparture(std::string_view endpointId, std::string_view record, int64_t wallMillis);
     const RouterBoard &routers() const { return routers_; }
     const HeardRoster &roster() const { return roster_; }
 
@@ -56,7 +58,12 @@
     void answerCommit(ExchangeId exchange, std::string what, Command command);
     void reply(ExchangeId exchange, int status, std::string body);
     void replyError(ExchangeId exchange, const Error &error);
-    bool mayAcknowledgeDeparture() const;
+    // Acknowledges a departure once a majority of the replicas holds it.
+    void answerDeparture(ExchangeId exchange, const std::string &endpointId,
+                         std::span<const EndpointRecord> record, int64_t wallMillis);
+    // Fulfilled with whether so many of the other replicas hold it.
+    kj::Promise<bool> shareDeparture(const std::string &endpointId,
+                                     std::span<const EndpointRecord> record, int64_t wallMillis);
     void noteCrash(std::string_view router, Fingerprint fingerprint, const std::string &crash);
     void refreshQuarantine();
 
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -317,6 +317,10 @@
 
   # The same from the leader, so that it is the newest that was acknowledged.
   newestRoutes @12 () -> (answered :Bool, version :UInt64, document :Data, leader :LeaderHint);
+
+  # An endpoint announced its departure to another replica. `record` holds its last
+  # heartbeat (see node/rosterwire.h), or is empty if it left without one.
+  endpointDeparts @13 (id :Text, record :Data, wallMillis :Int64) -> ();
 }
 
 # What a connection starts with: only a peer that knows the fleet's key gets on.
--- a/node/wire.capnp.cc
+++ b/node/wire.capnp.cc
@@ -3801,7 +3801,7 @@
   0, 2, i_e0f5d1e3b45a8260, nullptr, nullptr, { &s_e0f5d1e3b45a8260, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<152> b_d71b5fe61a911721 = {
+static const ::capnp::_::AlignedData<163> b_d71b5fe61a911721 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      33,  23, 145,  26, 230,  95,  27, 215,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -3811,117 +3811,125 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  71,   3,   0,   0,
-     49,   2,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 135,   3,   0,   0,
+     93,   2,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  78, 111, 100, 101,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     52,   0,   0,   0,   3,   0,   5,   0,
+     56,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21, 165,  96, 218,  55,  42, 136, 229,
     196,  26, 153,  84, 192, 148,  16, 239,
-    145,   1,   0,   0,  66,   0,   0,   0,
+    177,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   1,   0,   0,   7,   0,   0,   0,
+    165,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     222, 215, 152, 109, 142, 110, 119, 154,
      57, 190, 254, 108,  29,  12, 237, 147,
-    121,   1,   0,   0,  82,   0,   0,   0,
+    153,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   1,   0,   0,   7,   0,   0,   0,
+    145,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      31, 160,  24, 163, 144, 189, 239, 254,
     198, 240, 208, 251, 184, 243, 141, 183,
-    101,   1,   0,   0,  82,   0,   0,   0,
+    133,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   1,   0,   0,   7,   0,   0,   0,
+    125,   1,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     182, 174, 232, 213,  94,  93,  19, 245,
     195, 211, 237, 203, 111, 114, 233, 245,
-     81,   1,   0,   0,  66,   0,   0,   0,
+    113,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   1,   0,   0,   7,   0,   0,   0,
+    101,   1,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     252,  99, 228, 202,  64, 145,  74, 239,
     225, 202,  85, 149, 163,  58, 193, 181,
-     57,   1,   0,   0,  42,   0,   0,   0,
+     89,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   1,   0,   0,   7,   0,   0,   0,
+     77,   1,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      21, 214, 121, 188,  85, 100, 186, 240,
     180,  69, 198, 148, 214, 139, 194, 243,
-     33,   1,   0,   0,  42,   0,   0,   0,
+     65,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   1,   0,   0,   7,   0,   0,   0,
+     53,   1,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     156, 179,  28, 107, 146, 163, 163, 164,
      80, 208,  95,  98,  35, 234,  91, 156,
-      9,   1,   0,   0,  74,   0,   0,   0,
+     41,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   1,   0,   0,   7,   0,   0,   0,
+     33,   1,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     157, 126, 211,  89, 176,  37, 153, 180,
     203, 255, 222, 174, 156,  56, 119, 254,
-    245,   0,   0,   0,  58,   0,   0,   0,
+     21,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      47, 130, 194, 133,  37, 204, 164, 225,
     234, 140,  85, 236, 193,  72, 178, 129,
-    221,   0,   0,   0, 114,   0,   0,   0,
+    253,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,   7,   0,   0,   0,
+    245,   0,   0,   0,   7,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
     250, 161, 183, 133, 122, 185,  82, 198,
      75,  57, 157, 196,  73, 240,  71, 201,
-    201,   0,   0,   0,  42,   0,   0,   0,
+    233,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+    221,   0,   0,   0,   7,   0,   0,   0,
      10,   0,   0,   0,   0,   0,   0,   0,
     254, 118,  96,  41, 153,  98,  10, 246,
      73, 107,  33, 208, 133,  92,  40, 215,
-    177,   0,   0,   0,  42,   0,   0,   0,
+    209,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
      11,   0,   0,   0,   0,   0,   0,   0,
      65, 144,  49, 137,  22,  75, 118, 211,
     174, 129, 167, 245, 113, 165, 158, 174,
-    153,   0,   0,   0,  58,   0,   0,   0,
+    185,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
     228, 161,  33,  14, 222, 156, 124, 132,
      43, 196,  41,  48,  19,  31,   4, 180,
-    129,   0,   0,   0, 106,   0,   0,   0,
+    161,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,   7,   0,   0,   0,
+    153,   0,   0,   0,   7,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+     66, 213, 246,  91,  89, 212, 111, 136,
+    114, 151, 131, 233, 123,   3,  97, 213,
+    141,   0,   0,   0, 130,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
     102, 111, 114, 119,  97, 114, 100,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 104,  97, 116,  77, 111, 118, 101,
@@ -3953,6 +3961,9 @@
     110, 101, 119, 101, 115, 116,  82, 111,
     117, 116, 101, 115,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+     68, 101, 112,  97, 114, 116, 115,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_d71b5fe61a911721 = b_d71b5fe61a911721.words;
@@ -3960,6 +3971,7 @@
 static const ::capnp::_::RawSchema* const d_d71b5fe61a911721[] = {
   &s_81b248c1ec558cea,
   &s_847c9cde0e21a1e4,
+  &s_886fd4595bf6d542,
   &s_93ed0c1d6cfebe39,
   &s_9a776e8e6d98d7de,
   &s_9c5bea23625fd050,
@@ -3972,6 +3984,7 @@
   &s_c652b97a85b7a1fa,
   &s_c947f049c49d394b,
   &s_d3764b1689319041,
+  &s_d561037be9839772,
   &s_d7285c85d0216b49,
   &s_e1a4cc2585c2822f,
   &s_e5882a37da60a515,
@@ -3985,10 +3998,10 @@
   &s_fe77389caedeffcb,
   &s_feefbd90a318a01f,
 };
-static const uint16_t m_d71b5fe61a911721[] = {1, 3, 0, 2, 6, 5, 12, 9, 4, 8, 11, 7, 10};
+static const uint16_t m_d71b5fe61a911721[] = {1, 3, 13, 0, 2, 6, 5, 12, 9, 4, 8, 11, 7, 10};
 const ::capnp::_::RawSchema s_d71b5fe61a911721 = {
-  0xd71b5fe61a911721, b_d71b5fe61a911721.words, 152, d_d71b5fe61a911721, m_d71b5fe61a911721,
-  26, 13, nullptr, nullptr, nullptr, { &s_d71b5fe61a911721, nullptr, nullptr, 0, 0, nullptr }
+  0xd71b5fe61a911721, b_d71b5fe61a911721.words, 163, d_d71b5fe61a911721, m_d71b5fe61a911721,
+  28, 14, nullptr, nullptr, nullptr, { &s_d71b5fe61a911721, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_e5882a37da60a515 = {
@@ -5374,6 +5387,107 @@
   1, 4, i_b4041f133029c42b, nullptr, nullptr, { &s_b4041f133029c42b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_886fd4595bf6d542 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     66, 213, 246,  91,  89, 212, 111, 136,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  78, 111, 100, 101,  46,
+    101, 110, 100, 112, 111, 105, 110, 116,
+     68, 101, 112,  97, 114, 116, 115,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 108, 108,  77, 105, 108, 108,
+    105, 115,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_886fd4595bf6d542 = b_886fd4595bf6d542.words;
+#if !CAPNP_LITE
+static const uint16_t m_886fd4595bf6d542[] = {0, 1, 2};
+static const uint16_t i_886fd4595bf6d542[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_886fd4595bf6d542 = {
+  0x886fd4595bf6d542, b_886fd4595bf6d542.words, 64, nullptr, m_886fd4595bf6d542,
+  0, 3, i_886fd4595bf6d542, nullptr, nullptr, { &s_886fd4595bf6d542, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_d561037be9839772 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    114, 151, 131, 233, 123,   3,  97, 213,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  78, 111, 100, 101,  46,
+    101, 110, 100, 112, 111, 105, 110, 116,
+     68, 101, 112,  97, 114, 116, 115,  36,
+     82, 101, 115, 117, 108, 116, 115,   0, }
+};
+::capnp::word const* const bp_d561037be9839772 = b_d561037be9839772.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d561037be9839772 = {
+  0xd561037be9839772, b_d561037be9839772.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d561037be9839772, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<27> b_f43cc6d0a7eeaae3 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     227, 170, 238, 167, 208, 198,  60, 244,
@@ -5979,6 +6093,16 @@
       "wire.capnp:Node", "newestRoutes",
       0xd71b5fe61a911721ull, 12);
 }
+::capnp::Request< ::bamboogap::wire::Node::EndpointDepartsParams,  ::bamboogap::wire::Node::EndpointDepartsResults>
+Node::Client::endpointDepartsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::bamboogap::wire::Node::EndpointDepartsParams,  ::bamboogap::wire::Node::EndpointDepartsResults>(
+      0xd71b5fe61a911721ull, 13, sizeHint);
+}
+::kj::Promise<void> Node::Server::endpointDeparts(EndpointDepartsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "wire.capnp:Node", "endpointDeparts",
+      0xd71b5fe61a911721ull, 13);
+}
 ::capnp::Capability::Server::DispatchCallResult Node::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -6071,6 +6195,12 @@
              ::bamboogap::wire::Node::NewestRoutesParams,  ::bamboogap::wire::Node::NewestRoutesResults>(context)),
         false
       };
+    case 13:
+      return {
+        endpointDeparts(::capnp::Capability::Server::internalGetTypedContext<
+             ::bamboogap::wire::Node::EndpointDepartsParams,  ::bamboogap::wire::Node::EndpointDepartsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -6294,6 +6424,22 @@
 constexpr ::capnp::_::RawSchema const* Node::NewestRoutesResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Node::EndpointDepartsParams
+constexpr uint16_t Node::EndpointDepartsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Node::EndpointDepartsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Node::EndpointDepartsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Node::EndpointDepartsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Node::EndpointDepartsResults
+constexpr uint16_t Node::EndpointDepartsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Node::EndpointDepartsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Node::EndpointDepartsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Node::EndpointDepartsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::bamboogap::wire::Gate::EnterParams,  ::bamboogap::wire::Gate::EnterResults>
 Gate::Client::enterRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -92,6 +92,8 @@
 CAPNP_DECLARE_SCHEMA(ae9ea571f5a781ae);
 CAPNP_DECLARE_SCHEMA(847c9cde0e21a1e4);
 CAPNP_DECLARE_SCHEMA(b4041f133029c42b);
+CAPNP_DECLARE_SCHEMA(886fd4595bf6d542);
+CAPNP_DECLARE_SCHEMA(d561037be9839772);
 CAPNP_DECLARE_SCHEMA(f43cc6d0a7eeaae3);
 CAPNP_DECLARE_SCHEMA(f27e33d3bd00368c);
 CAPNP_DECLARE_SCHEMA(cce3184e3f4610ed);
@@ -642,6 +644,8 @@
   struct RoutesResults;
   struct NewestRoutesParams;
   struct NewestRoutesResults;
+  struct EndpointDepartsParams;
+  struct EndpointDepartsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1041,6 +1045,36 @@
   };
 };
 
+struct Node::EndpointDepartsParams {
+  EndpointDepartsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(886fd4595bf6d542, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::EndpointDepartsResults {
+  EndpointDepartsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d561037be9839772, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -4658,6 +4692,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::bamboogap::wire::Node::NewestRoutesParams,  ::bamboogap::wire::Node::NewestRoutesResults> newestRoutesRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::EndpointDepartsParams,  ::bamboogap::wire::Node::EndpointDepartsResults> endpointDepartsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -4726,6 +4762,10 @@
   typedef  ::bamboogap::wire::Node::NewestRoutesResults NewestRoutesResults;
   typedef ::capnp::CallContext<NewestRoutesParams, NewestRoutesResults> NewestRoutesContext;
   virtual ::kj::Promise<void> newestRoutes(NewestRoutesContext context);
+  typedef  ::bamboogap::wire::Node::EndpointDepartsParams EndpointDepartsParams;
+  typedef  ::bamboogap::wire::Node::EndpointDepartsResults EndpointDepartsResults;
+  typedef ::capnp::CallContext<EndpointDepartsParams, EndpointDepartsResults> EndpointDepartsContext;
+  virtual ::kj::Promise<void> endpointDeparts(EndpointDepartsContext context);
 
   inline  ::bamboogap::wire::Node::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -6944,6 +6984,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class Node::EndpointDepartsParams::Reader {
+public:
+  typedef EndpointDepartsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasRecord() const;
+  inline  ::capnp::Data::Reader getRecord() const;
+
+  inline  ::int64_t getWallMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::EndpointDepartsParams::Builder {
+public:
+  typedef EndpointDepartsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasRecord();
+  inline  ::capnp::Data::Builder getRecord();
+  inline void setRecord( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRecord(unsigned int size);
+  inline void adoptRecord(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRecord();
+
+  inline  ::int64_t getWallMillis();
+  inline void setWallMillis( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::EndpointDepartsParams::Pipeline {
+public:
+  typedef EndpointDepartsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::EndpointDepartsResults::Reader {
+public:
+  typedef EndpointDepartsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::EndpointDepartsResults::Builder {
+public:
+  typedef EndpointDepartsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::EndpointDepartsResults::Pipeline {
+public:
+  typedef EndpointDepartsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -12138,6 +12345,88 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Node::EndpointDepartsParams::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::EndpointDepartsParams::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Node::EndpointDepartsParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Node::EndpointDepartsParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::EndpointDepartsParams::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Node::EndpointDepartsParams::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Node::EndpointDepartsParams::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Node::EndpointDepartsParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::EndpointDepartsParams::Reader::hasRecord() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::EndpointDepartsParams::Builder::hasRecord() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Node::EndpointDepartsParams::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Node::EndpointDepartsParams::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Node::EndpointDepartsParams::Builder::setRecord( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Node::EndpointDepartsParams::Builder::initRecord(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Node::EndpointDepartsParams::Builder::adoptRecord(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Node::EndpointDepartsParams::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Node::EndpointDepartsParams::Reader::getWallMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Node::EndpointDepartsParams::Builder::getWallMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::EndpointDepartsParams::Builder::setWallMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -190,14 +190,16 @@
     def announced_port(self):
         return self.server.server_port
 
-    def beat(self):
-        """One heartbeat to the first replica that acknowledges it."""
+    def next_heartbeat(self):
         self.sequence += 1
-        body = {"service": self.service, "address": f"127.0.0.1:{self.announced_port()}",
+        return {"service": self.service, "address": f"127.0.0.1:{self.announced_port()}",
                 "zone": self.data_centre, "version": "v1", "batchSlots": self.slots,
                 "state": self.state, "warmupLeftMs": 0, "phase": "hybrid",
                 "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.sequence}
-        return self.fleet.control("PUT", "/v1/instances/" + self.name, body)
+
+    def beat(self):
+        """One heartbeat to the first replica that acknowledges it."""
+        return self.fleet.control("PUT", "/v1/instances/" + self.name, self.next_heartbeat())
 
     def beat_on(self):
         while self.beating:
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -15,6 +15,8 @@
 from fleet import wait_for
 from platform_fleet import DirectFleet, Runner, call
 
+DRAIN_SECONDS = 2.0  # drainMs of the users' sites
+
 
 def served(fleet):
     """A fleet with two plain runners and two engines, in service."""
@@ -227,6 +229,29 @@
     assert len(gone.seen) == before
 
 
+def leaving_runner_and_replica(fleet):
+    """The replica that acknowledged a departure is gone before any router asked it."""
+    served(fleet)
+    leaving = fleet.runners[0]
+    leaving.beating = False
+    time.sleep(0.7)  # its last heartbeat as usual is over
+    victim = fleet.replicas[0]
+    leaving.state = "draining"
+    answer = call(victim.address("control"), "PUT", "/v1/instances/" + leaving.name,
+                  leaving.next_heartbeat())
+    victim.kill()
+    assert answer[0] == 200, answer
+    acknowledged = time.monotonic()
+    time.sleep(max(0, acknowledged + DRAIN_SECONDS - time.monotonic()))
+    late = []
+    while time.monotonic() < acknowledged + DRAIN_SECONDS + 1.5:
+        status, headers, _ = fleet.ask("/read/1", router=len(late) % 2)
+        assert status == 200
+        late.append(headers["id"])
+    reached = sum(request in late for request in leaving.runs)
+    assert reached == 0, f"{reached} of {len(late)} requests reached the runner that had left"
+
+
 def outage(fleet):
     other = fleet.runner("plain-c", "plain", data_centre="dc2")
     served(fleet)
