--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -161,9 +161,9 @@
         noteCrash(name, crash.getFingerprint(), std::string(toView(crash.getCrash())));
     for (PromptPlacement &placement : read(request.getPlacements()))
         placements_.add(name, std::move(placement));
+    const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
     uint64_t placementsVersion = request.getPlacementsVersion();
     if (request.getWantsOthers()) {
-        const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
         const size_t most = std::min(kMaxPlacementsTold, kPlacementsInRound / routers);
         const auto placed = placements_.since(placementsVersion, name, most);
         write(placed, reply.initPlacements(placed.size()));
@@ -177,7 +177,6 @@
     unsigned index = 0;
     for (const std::string &dataCentre : deployment.dataCentresOut())
         out.set(index++, dataCentre);
-    const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
     const RosterChanges changes
             = roster_.changesSince(request.getRosterEpoch(), request.getRosterVersion(), now,
                                    std::max(kRecordsTold, kRecordsInShortRound / routers));
@@ -325,10 +324,7 @@
                                  int64_t wallMillis)
 {
     const Instant now = BootClock::now();
-    if (record.empty()) {
-        roster_.leave(endpointId, wallMillis, now);
-        return;
-    }
+    const uint64_t before = roster_.version();
     auto records = unpackRecords(record);
     if (!records) {
         logEvent(LogLevel::Error, "departure_unreadable",
@@ -336,8 +332,16 @@
                    { "problem", records.error().message } });
         return;
     }
+    if (records->empty())
+        roster_.leave(endpointId, wallMillis, now);
     for (EndpointRecord &departing : *records)
         roster_.heartbeat(std::move(departing), now);
+    if (roster_.version() == before)
+        return; // known already: each heartbeat of a draining endpoint is passed on
+    logEvent(LogLevel::Info, "endpoint_departs",
+             { { "endpoint", std::string(endpointId) },
+               { "announced", record.empty() ? "left" : "draining" },
+               { "told_by", "another replica" } });
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const HeartbeatOrder &order, const HttpRequest &)
