--- a/node/testing/rosterwire_test.cc
+++ b/node/testing/rosterwire_test.cc
@@ -8,7 +8,7 @@
 namespace bamboogap {
 namespace {
 
-EndpointRecord endpoint(int number)
+EndpointRecord endpoint(int64_t number)
 {
     EndpointRecord record;
     record.id = "i-" + std::to_string(7919 * (number + 1) % 1000003) + "f3";
