The path's prefix and a list's digest get names of our own

Cause: RepeatableCall and Route named their member with the users' wire name; only platform/ may know it. digestOf said nothing of what it digests. Ruled out: leaving it because the field in control/lists is older than the adapter. Change: pathPrefix is prefix outside platform/, digestOf is digestOfReplicas. The wire's own name stays in platform/ and in the tests that speak the platform's protocol.

--- a/control/lists.cc
+++ b/control/lists.cc
@@ -61,10 +61,10 @@
         || path.find('%') != std::string_view::npos)
         return false;
     for (const RepeatableCall &call : found->second.repeatable) {
-        if (call.method != method || path.substr(0, call.pathPrefix.size()) != call.pathPrefix)
+        if (call.method != method || path.substr(0, call.prefix.size()) != call.prefix)
             continue;
-        const std::string_view rest = path.substr(call.pathPrefix.size());
-        if (call.pathPrefix.back() == '/' || rest.empty() || rest[0] == '/' || rest[0] == '?')
+        const std::string_view rest = path.substr(call.prefix.size());
+        if (call.prefix.back() == '/' || rest.empty() || rest[0] == '/' || rest[0] == '?')
             return true;
     }
     return false;
--- a/control/lists.h
+++ b/control/lists.h
@@ -56,7 +56,7 @@
 struct RepeatableCall
 {
     std::string method;
-    std::string pathPrefix;
+    std::string prefix; // of the path; matches whole segments
 
     bool operator==(const RepeatableCall &) const = default;
 };
--- a/control/listsjson.cc
+++ b/control/listsjson.cc
@@ -56,7 +56,7 @@
 {
     json calls = json::array();
     for (const RepeatableCall &call : service.repeatable)
-        calls.push_back({ { "method", call.method }, { "path", call.pathPrefix } });
+        calls.push_back({ { "method", call.method }, { "path", call.prefix } });
     return { { "repeatable", calls } };
 }
 
--- a/fleet/announcement.cc
+++ b/fleet/announcement.cc
@@ -89,8 +89,8 @@
     for (const json &item : list) {
         RepeatableCall call;
         if (!item.is_object() || !readText(item, "method", call.method)
-            || !readText(item, "path", call.pathPrefix) || call.method.empty()
-            || call.pathPrefix.empty() || call.pathPrefix.front() != '/')
+            || !readText(item, "path", call.prefix) || call.method.empty() || call.prefix.empty()
+            || call.prefix.front() != '/')
             return wrongField("repeatable", "a list of objects with method and path");
         calls.push_back(std::move(call));
     }
@@ -130,7 +130,7 @@
     }
     json repeatable = json::array();
     for (const RepeatableCall &call : announcement.repeatable)
-        repeatable.push_back({ { "method", call.method }, { "path", call.pathPrefix } });
+        repeatable.push_back({ { "method", call.method }, { "path", call.prefix } });
     return { { "id", announcement.id },
              { "incarnation", announcement.incarnation },
              { "sequence", announcement.sequence },
--- a/fleet/routerboard.cc
+++ b/fleet/routerboard.cc
@@ -69,7 +69,7 @@
     return best == replicas.end() ? std::string() : *best;
 }
 
-uint64_t digestOf(std::span<const std::string> replicas)
+uint64_t digestOfReplicas(std::span<const std::string> replicas)
 {
     uint64_t digest = 0;
     for (const std::string &replica : replicas)
--- a/fleet/routerboard.h
+++ b/fleet/routerboard.h
@@ -39,7 +39,7 @@
 std::string sourceOfOthers(std::string_view router, std::span<const std::string> replicas);
 
 // Identifies a list of replicas, so that it is sent only to those who have another one.
-uint64_t digestOf(std::span<const std::string> replicas);
+uint64_t digestOfReplicas(std::span<const std::string> replicas);
 
 struct RouterReport
 {
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -195,7 +195,7 @@
     std::vector<std::string> members;
     for (const Replica &member : control_.membership().members)
         members.push_back(member.address);
-    if (request.getReplicasDigest() != digestOf(members)) {
+    if (request.getReplicasDigest() != digestOfReplicas(members)) {
         auto replicas = reply.initReplicas(members.size());
         for (size_t i = 0; i < members.size(); ++i)
             replicas.set(i, members[i]);
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -148,7 +148,7 @@
     write(placed, request.initPlacements(placed.size()));
     request.setWantsOthers(address == sourceOfOthers_);
     request.setPlacementsVersion(link.placementsVersion);
-    request.setReplicasDigest(digestOf(members_));
+    request.setReplicasDigest(digestOfReplicas(members_));
     link.inFlight = true;
     const Duration limit = link.reachable
             ? std::max<Duration>(kAnswerLimit, fleet_.routers * kAnswerPerRouter)
--- a/routing/routetable.cc
+++ b/routing/routetable.cc
@@ -26,10 +26,9 @@
 
 Result<void> checkRoute(const Route &route, const std::set<std::string> &services)
 {
-    if (route.pathPrefix.empty() || route.pathPrefix.front() != '/'
-        || route.pathPrefix.back() != '/') {
+    if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
         return invalid(fmt::format("route '{}': the prefix '{}' has to begin and end with a slash",
-                                   route.name, route.pathPrefix),
+                                   route.name, route.prefix),
                        "add the slash");
     }
     if (route.timeout <= Duration::zero())
@@ -65,16 +64,16 @@
         const Route &route = content.routes[i];
         if (auto checked = checkRoute(route, services); !checked)
             return tl::unexpected(checked.error());
-        if (!places.emplace(route.host, route.pathPrefix).second) {
+        if (!places.emplace(route.host, route.prefix).second) {
             return invalid(fmt::format("route '{}': another route has host '{}' and prefix '{}'",
-                                       route.name, route.host, route.pathPrefix),
+                                       route.name, route.host, route.prefix),
                            "give one of them another prefix");
         }
         table.routesByHost_[route.host].push_back(i);
     }
     for (auto &[host, indexes] : table.routesByHost_) {
         std::sort(indexes.begin(), indexes.end(), [&](size_t a, size_t b) {
-            return content.routes[a].pathPrefix.size() > content.routes[b].pathPrefix.size();
+            return content.routes[a].prefix.size() > content.routes[b].prefix.size();
         });
     }
     for (size_t i = 0; i < content.workspaces.size(); ++i) {
@@ -99,7 +98,7 @@
         return nullptr;
     for (const size_t index : found->second) {
         const Route &route = content_.routes[index];
-        if (path.substr(0, route.pathPrefix.size()) == route.pathPrefix)
+        if (path.substr(0, route.prefix.size()) == route.prefix)
             return &route;
     }
     return nullptr;
--- a/routing/routetable.h
+++ b/routing/routetable.h
@@ -34,7 +34,7 @@
 {
     std::string name;
     std::string host;
-    std::string pathPrefix; // begins and ends with a slash
+    std::string prefix; // begins and ends with a slash
     Repeatability repeatability = Repeatability::AtMostOnce;
     bool resumable = false; // a stream may go on at another endpoint
     bool anonymous = false; // needs no access key
--- a/routing/testing/direct_test.cc
+++ b/routing/testing/direct_test.cc
@@ -27,12 +27,12 @@
     Route route;
     route.name = "r1";
     route.host = "a.example";
-    route.pathPrefix = "/x/";
+    route.prefix = "/x/";
     route.timeout = seconds(1);
     route.targets = { { "plain", 1 } };
     made.routes.push_back(route);
     route.name = "r2";
-    route.pathPrefix = "/x/y/";
+    route.prefix = "/x/y/";
     route.targets = { { "engines", 3 }, { "plain", 1 } };
     made.routes.push_back(route);
     made.workspaces = { { "w1", { "k1", "k2" }, 1 }, { "w2", { "k3" }, std::nullopt } };
@@ -64,7 +64,7 @@
     };
     CHECK(refused([](auto &made) { made.routes[0].targets[0].service = "none"; })
           == "route 'r1': there is no service 'none'");
-    CHECK(refused([](auto &made) { made.routes[1].pathPrefix = "/x/"; }).find("'r2'")
+    CHECK(refused([](auto &made) { made.routes[1].prefix = "/x/"; }).find("'r2'")
           != std::string::npos);
     CHECK(refused([](auto &made) { made.routes[0].targets[0].weight = 0; })
           == "route 'r1': the weights add up to 0");
@@ -72,7 +72,7 @@
           == "route 'r1': the timeout is 0");
     CHECK(refused([](auto &made) { made.workspaces[1].keys.push_back("k1"); })
           == "workspaces 'w1' and 'w2' share a key");
-    CHECK(refused([](auto &made) { made.routes[0].pathPrefix = "/x"; }).find("slash")
+    CHECK(refused([](auto &made) { made.routes[0].prefix = "/x"; }).find("slash")
           != std::string::npos);
 }
 
