Departures and quiet periods that endpoints announce in their answers

A runner that leaves says so in every answer (Server-Leaving) and may get nothing from a router that passed such an answer on, in touch or not; a runner that turns a request away with 503 may ask for quiet (Retry-After). Neither header was read.

A leaving incarnation is out of placement at once in the router that read it, whatever records replicas tell afterwards, and goes to the replicas with the next report; they hold it against later heartbeats of the same incarnation. At equal sequence numbers a draining record is later than a ready one (found by the new roster test: the router kept the older record). When all endpoints that may be used are quiet, callers are refused at once with the shortest time left, spread. Retry-After that cannot be read is ignored and logged. Every request counts against a quiet period, also repeats and resumed streams; this product sends no health checks.

--- a/fleet/roster.cc
+++ b/fleet/roster.cc
@@ -32,6 +32,8 @@
         return candidate.bornMillis > known.bornMillis;
     if (known.state == EndpointState::Gone || candidate.state == EndpointState::Gone)
         return known.state != EndpointState::Gone;
+    if (candidate.sequence == known.sequence)
+        return candidate.state > known.state; // replicas also learn from routers that it leaves
     return candidate.sequence > known.sequence;
 }
 
@@ -49,6 +51,9 @@
     if (known && !isLater(record, found->second.record))
         return;
     Entry &entry = known ? found->second : entries_[record.id];
+    entry.leaving = entry.leaving && record.bornMillis == entry.record.bornMillis;
+    if (entry.leaving && record.state == EndpointState::Ready)
+        record.state = EndpointState::Draining;
     const Instant coldUntil = now + std::chrono::milliseconds(record.warmupLeftMillis);
     const bool cold = record.warmupLeftMillis > 0;
     const bool warmupMoved = cold
@@ -75,6 +80,21 @@
     entry.changedAt = ++version_;
 }
 
+bool HeardRoster::leaving(std::string_view id, int64_t bornMillis)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.record.bornMillis != bornMillis
+        || found->second.leaving)
+        return false;
+    Entry &entry = found->second;
+    entry.leaving = true;
+    if (entry.record.state != EndpointState::Ready)
+        return false;
+    entry.record.state = EndpointState::Draining;
+    entry.changedAt = ++version_;
+    return true;
+}
+
 void HeardRoster::tick(Instant now)
 {
     for (auto item = entries_.begin(); item != entries_.end();) {
@@ -139,6 +159,7 @@
             endpoint.record.bornMillis = record.bornMillis;
             ++version_;
         } else if (added || isLater(record, endpoint.record)) {
+            endpoint.leaving = endpoint.leaving && record.bornMillis == endpoint.record.bornMillis;
             endpoint.record = record;
             endpoint.coldUntil = now + std::chrono::milliseconds(record.warmupLeftMillis);
             ++version_;
@@ -175,6 +196,17 @@
         found->second.lastProof = now;
 }
 
+bool MergedRoster::leaving(std::string_view id, int64_t bornMillis)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end() || found->second.leaving
+        || found->second.record.bornMillis != bornMillis)
+        return false;
+    found->second.leaving = true;
+    ++version_;
+    return true;
+}
+
 void MergedRoster::misdirected(std::string_view id)
 {
     const auto found = endpoints_.find(id);
@@ -221,7 +253,8 @@
 
 bool MergedRoster::mayUse(const Endpoint &endpoint, Instant now) const
 {
-    return endpoint.record.state == EndpointState::Ready && isThere(endpoint, now);
+    return endpoint.record.state == EndpointState::Ready && !endpoint.leaving
+            && isThere(endpoint, now);
 }
 
 bool MergedRoster::isThere(const Endpoint &endpoint, Instant now) const
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -73,6 +73,9 @@
     // A departure names no birth: it holds for the incarnation that is known, or
     // for any born before wallMillis.
     void leave(std::string_view id, int64_t wallMillis, Instant now);
+    // An endpoint said to a router that it is about to end. Holds for this incarnation,
+    // whatever its later heartbeats say. True if it was not known.
+    bool leaving(std::string_view id, int64_t bornMillis);
     // Marks endpoints that fell silent and forgets those long gone.
     void tick(Instant now);
 
@@ -91,6 +94,7 @@
         Instant heardAt {};
         Instant coldUntil {};
         uint64_t changedAt = 0; // roster version
+        bool leaving = false; // this incarnation said so in an answer
     };
 
     uint64_t epoch_;
@@ -110,6 +114,7 @@
         Instant coldUntil {};
         Instant firstSeen {};
         Instant lastProof {}; // last sign of life: a replica's word or an answer
+        bool leaving = false; // this incarnation said so to this router
         std::map<std::string, bool, std::less<>> heardBy; // by replica
     };
 
@@ -119,6 +124,9 @@
     void setReachable(std::string_view replica, bool reachable);
     // The endpoint answered a request of this router.
     void answered(std::string_view id, Instant now);
+    // The incarnation said to this router that it is about to end; records that replicas
+    // still tell of it as ready change nothing. True if this is news.
+    bool leaving(std::string_view id, int64_t bornMillis);
     // Another endpoint answered at this address: the record is outdated.
     void misdirected(std::string_view id);
     void tick(Instant now);
--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -67,6 +67,25 @@
     CHECK(fixture.merged.find("e1")->record.bornMillis == 2);
 }
 
+TEST_CASE("what an endpoint said in an answer outlasts its later heartbeats")
+{
+    Fixture fixture;
+    fixture.heard.heartbeat(record("e1", 1), kStart);
+    fixture.pass(kStart);
+    CHECK_FALSE(fixture.heard.leaving("e1", 2)); // not the incarnation that is known
+    CHECK_FALSE(fixture.heard.leaving("unknown", 1));
+    CHECK(fixture.heard.leaving("e1", 1));
+    CHECK_FALSE(fixture.heard.leaving("e1", 1));
+    fixture.pass(kStart + milliseconds(10));
+    CHECK_FALSE(fixture.usable("e1", kStart + milliseconds(10)));
+    fixture.heard.heartbeat(record("e1", 2), kStart + seconds(1));
+    fixture.pass(kStart + seconds(1));
+    CHECK_FALSE(fixture.usable("e1", kStart + seconds(1)));
+    fixture.heard.heartbeat(record("e1", 1, 2), kStart + seconds(2));
+    fixture.pass(kStart + seconds(2));
+    CHECK(fixture.usable("e1", kStart + seconds(2)));
+}
+
 TEST_CASE("a departure is the last word of its incarnation")
 {
     Fixture fixture;
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -60,6 +60,9 @@
     bool misdirected = false; // another endpoint has the address now
     bool encoded = false; // the body was encoded on the way
     std::optional<Duration> keepAlive; // idle time after which it closes
+    bool leaving = false; // the endpoint is about to end and wants no new requests
+    std::optional<Duration> quiet; // the endpoint wants no request for so long
+    std::string unreadable; // a header whose value was ignored; empty if none
 };
 
 // What endpoints and operators ask of the control plane.
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -52,10 +52,43 @@
     const bool ok = status >= 200 && status < 300;
     active.success = ok && active.head.isSigned && !active.head.encoded
             && active.head.requestId == active.caller.id;
+    if (!foreign && !active.head.misdirected)
+        heedEndpoint(active);
     // What claims to be a success but cannot be the endpoint's own is not read on.
     return !foreign && (!ok || active.success);
 }
 
+// What an answer says of its endpoint holds at once for this router's next requests.
+void DirectRouter::heedEndpoint(const Active &active)
+{
+    const AnswerHead &head = active.head;
+    if (!head.endpointId.empty() && head.endpointId != active.endpointId)
+        return;
+    const Instant now = BootClock::now();
+    if (!head.unreadable.empty()) {
+        logEvent(LogLevel::Warning, "answer_header_ignored",
+                 { { "request", active.caller.id },
+                   { "endpoint", active.endpointId },
+                   { "header", head.unreadable } });
+    }
+    if (head.leaving && sync_->roster().leaving(active.endpointId, active.endpointBorn)) {
+        logEvent(LogLevel::Info, "endpoint_leaving",
+                 { { "endpoint", active.endpointId },
+                   { "born_ms", fmt::to_string(active.endpointBorn) },
+                   { "request", active.caller.id } });
+        sync_->reportLeaving({ active.endpointId, active.endpointBorn });
+        onNews();
+    }
+    if (head.quiet) {
+        board_.askedForQuiet(active.endpoint, active.endpointBorn, *head.quiet, now);
+        logEvent(LogLevel::Info, "endpoint_asked_for_quiet",
+                 { { "endpoint", active.endpointId },
+                   { "request", active.caller.id },
+                   { "quiet_ms", fmt::to_string(toMillis(*head.quiet)) } });
+        metrics_.count("bamboogap_quiet_periods_total");
+    }
+}
+
 void DirectRouter::onData(ExchangeId id, std::string_view data)
 {
     Active &active = *active_.at(id);
@@ -216,9 +249,11 @@
     erase(id);
 }
 
-Duration DirectRouter::returnTime(Refusal refusal)
+Duration DirectRouter::returnTime(const Active &active, Refusal refusal)
 {
     ReturnTime time = refusal == Refusal::NoCapacity ? kWhenPlaceFree : kWhenFleetReady;
+    if (refusal == Refusal::NoCapacity)
+        time.least = std::max(time.least, board_.quietLeft(active.service, BootClock::now()));
     if (stopping_)
         time = kAtOnce;
     return time.least + scaled(time.spread, chance());
@@ -241,7 +276,7 @@
         return;
     case Refusal::NotReady:
     case Refusal::NoCapacity:
-        replyOwn(active, 503, "no_capacity", reason, returnTime(refusal));
+        replyOwn(active, 503, "no_capacity", reason, returnTime(active, refusal));
         return;
     }
 }
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -72,6 +72,7 @@
     void place(Active &active);
     void send(Active &active, const Placement &placement);
     bool onHead(ExchangeId id, int status, std::span<const HttpHeader> headers);
+    void heedEndpoint(const Active &active);
     void onData(ExchangeId id, std::string_view data);
     void onEnd(ExchangeId id, CallEnd end, std::string_view reason);
     void onTimer(ExchangeId id);
@@ -91,7 +92,7 @@
     void armTimer(Active &active, Instant at);
     Instant attemptLimit(const Active &active) const;
     bool mayRunAgain(const Active &active) const;
-    Duration returnTime(Refusal refusal);
+    Duration returnTime(const Active &active, Refusal refusal);
     PlacementRequest placementRequest(const Active &active) const;
     void placeWaiting();
     double chance();
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -159,6 +159,8 @@
     }
     for (const auto crash : request.getCrashes())
         noteCrash(name, crash.getFingerprint(), std::string(toView(crash.getCrash())));
+    for (const auto endpoint : request.getLeavingEndpoints())
+        noteLeaving(name, toView(endpoint.getId()), endpoint.getBornMillis());
     for (PromptPlacement &placement : read(request.getPlacements()))
         placements_.add(name, std::move(placement));
     const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
@@ -211,6 +213,18 @@
     }
 }
 
+// Told by a router in its report: an endpoint's answers are often ahead of its heartbeats.
+void ReplicaFront::noteLeaving(std::string_view router, std::string_view endpointId,
+                               int64_t bornMillis)
+{
+    if (!roster_.leaving(endpointId, bornMillis))
+        return;
+    logEvent(LogLevel::Info, "endpoint_departs",
+             { { "endpoint", std::string(endpointId) },
+               { "announced", "in an answer" },
+               { "told_by", std::string(router) } });
+}
+
 void ReplicaFront::noteCrash(std::string_view router, Fingerprint fingerprint,
                              const std::string &crash)
 {
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -64,6 +64,7 @@
     // Fulfilled with whether so many of the other replicas hold it.
     kj::Promise<bool> shareDeparture(const std::string &endpointId,
                                      std::span<const EndpointRecord> record, int64_t wallMillis);
+    void noteLeaving(std::string_view router, std::string_view endpointId, int64_t bornMillis);
     void noteCrash(std::string_view router, Fingerprint fingerprint, const std::string &crash);
     void refreshQuarantine();
 
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -41,6 +41,7 @@
 // serves as soon as a leader is there.
 constexpr Duration kIntervalWithoutRoutes = std::chrono::milliseconds(50);
 constexpr size_t kMaxCrashesKept = 256;
+constexpr size_t kMaxLeavingKept = 256;
 constexpr size_t kMaxPlacementsSent = 256;
 
 } // namespace
@@ -143,6 +144,13 @@
         crashes[i - known].setCrash(crashes_[i].name);
     }
     const size_t sent = crashes_.size();
+    const size_t leavingKnown = std::min(link.leavingSent, leavingEndpoints_.size());
+    const size_t leavingSent = leavingEndpoints_.size();
+    auto leavingList = request.initLeavingEndpoints(leavingSent - leavingKnown);
+    for (size_t i = leavingKnown; i < leavingSent; ++i) {
+        leavingList[i - leavingKnown].setId(leavingEndpoints_[i].id);
+        leavingList[i - leavingKnown].setBornMillis(leavingEndpoints_[i].bornMillis);
+    }
     uint64_t placementsSent = link.placementsSent;
     const auto placed = placements_.since(placementsSent, "-", kMaxPlacementsSent);
     write(placed, request.initPlacements(placed.size()));
@@ -153,17 +161,19 @@
     const Duration limit = link.reachable
             ? std::max<Duration>(kAnswerLimit, fleet_.routers * kAnswerPerRouter)
             : kFirstAnswerLimit + fleet_.routers * kIntervalPerRouter;
-    loop_.detach(loop_.within(limit, call.send())
-                         .then(
-                                 [this, address, sent, placementsSent](auto &&response) {
-                                     links_[address].crashesSent = sent;
-                                     links_[address].placementsSent = placementsSent;
-                                     onReply(address, response.getReply());
-                                 },
-                                 [this, address](kj::Exception &&problem) {
-                                     onFailure(address, problem);
-                                 }),
-                 "sync");
+    loop_.detach(
+            loop_.within(limit, call.send())
+                    .then(
+                            [this, address, sent, leavingSent, placementsSent](auto &&response) {
+                                links_[address].crashesSent = sent;
+                                links_[address].leavingSent = leavingSent;
+                                links_[address].placementsSent = placementsSent;
+                                onReply(address, response.getReply());
+                            },
+                            [this, address](kj::Exception &&problem) {
+                                onFailure(address, problem);
+                            }),
+            "sync");
 }
 
 void SyncTask::onFailure(const std::string &address, const kj::Exception &problem)
@@ -328,6 +338,16 @@
                { "crash", crash.name } });
 }
 
+void SyncTask::reportLeaving(LeavingEndpoint endpoint)
+{
+    if (leavingEndpoints_.size() >= kMaxLeavingKept) {
+        leavingEndpoints_.clear();
+        for (auto &[address, link] : links_)
+            link.leavingSent = 0;
+    }
+    leavingEndpoints_.push_back(std::move(endpoint));
+}
+
 void SyncTask::setSeeds(std::vector<std::string> seeds)
 {
     settings_.seeds = std::move(seeds);
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -34,6 +34,13 @@
     std::string name; // of the crash: endpoint and birth
 };
 
+// An incarnation of an endpoint that said in an answer that it is about to end.
+struct LeavingEndpoint
+{
+    std::string id;
+    int64_t bornMillis = 0;
+};
+
 struct SyncSettings
 {
     std::string name;
@@ -62,6 +69,8 @@
     // Tells the replicas that this router ends.
     void leave();
     void reportCrash(const Crash &crash);
+    // Goes to all replicas with the next report.
+    void reportLeaving(LeavingEndpoint endpoint);
     void setSeeds(std::vector<std::string> seeds);
 
     const std::shared_ptr<const RouteTable> &table() const { return table_; }
@@ -91,6 +100,7 @@
         Instant askAgainAt {};
         Duration retryAfter {};
         size_t crashesSent = 0; // of crashes_ that the replica has
+        size_t leavingSent = 0; // of leavingEndpoints_ that the replica has
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
         uint64_t placementsVersion = 0; // of others' placements, if it is their source
     };
@@ -120,6 +130,7 @@
     FleetSize fleet_;
     std::map<Fingerprint, Standing> suspects_;
     std::vector<Crash> crashes_;
+    std::vector<LeavingEndpoint> leavingEndpoints_;
     PlacementLog placements_; // of this router, until every replica has them
     std::string sourceOfOthers_; // the replica that tells what the other routers do
     bool fetching_ = false;
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -229,6 +229,12 @@
   parts @1 :List(ChainPart);
 }
 
+# An endpoint that said in an answer to a router that it is about to end.
+struct LeavingEndpoint {
+  id @0 :Text;
+  bornMillis @1 :Int64;  # of the incarnation that said so
+}
+
 struct SyncRequest {
   router @0 :Text;
   incarnation @1 :UInt64;
@@ -244,6 +250,7 @@
   wantsOthers @11 :Bool;  # one replica tells a router what the others do
   placementsVersion @12 :UInt64;
   replicasDigest @13 :UInt64;  # of the list that the router has
+  leavingEndpoints @14 :List(LeavingEndpoint);  # since the last sync that was answered
 }
 
 struct SyncReply {
@@ -321,6 +328,10 @@
   # An endpoint announced its departure to another replica. `record` holds its last
   # heartbeat (see node/rosterwire.h), or is empty if it left without one.
   endpointDeparts @13 (id :Text, record :Data, wallMillis :Int64) -> ();
+
+  # What the routers that report their work to another replica have under way together;
+  # `uses` as in SyncReply.
+  groupUses @14 (replica :Text, routers :UInt16, uses :Data) -> ();
 }
 
 # What a connection starts with: only a peer that knows the fleet's key gets on.
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -56,6 +56,7 @@
 CAPNP_DECLARE_SCHEMA(adae6e5e44840763);
 CAPNP_DECLARE_SCHEMA(ce0a718398872f24);
 CAPNP_DECLARE_SCHEMA(b60c2c4b174015c3);
+CAPNP_DECLARE_SCHEMA(ba2f66fed2b87cd7);
 CAPNP_DECLARE_SCHEMA(9079cdf40b7c7355);
 CAPNP_DECLARE_SCHEMA(c20538f9036bc713);
 CAPNP_DECLARE_SCHEMA(a4b62f89f58a954a);
@@ -94,6 +95,8 @@
 CAPNP_DECLARE_SCHEMA(b4041f133029c42b);
 CAPNP_DECLARE_SCHEMA(886fd4595bf6d542);
 CAPNP_DECLARE_SCHEMA(d561037be9839772);
+CAPNP_DECLARE_SCHEMA(81b0346b7038de06);
+CAPNP_DECLARE_SCHEMA(fc81d385940f4d6d);
 CAPNP_DECLARE_SCHEMA(f43cc6d0a7eeaae3);
 CAPNP_DECLARE_SCHEMA(f27e33d3bd00368c);
 CAPNP_DECLARE_SCHEMA(cce3184e3f4610ed);
@@ -468,6 +471,21 @@
   };
 };
 
+struct LeavingEndpoint {
+  LeavingEndpoint() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba2f66fed2b87cd7, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SyncRequest {
   SyncRequest() = delete;
 
@@ -476,7 +494,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 8, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -646,6 +664,8 @@
   struct NewestRoutesResults;
   struct EndpointDepartsParams;
   struct EndpointDepartsResults;
+  struct GroupUsesParams;
+  struct GroupUsesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1075,6 +1095,36 @@
   };
 };
 
+struct Node::GroupUsesParams {
+  GroupUsesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(81b0346b7038de06, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::GroupUsesResults {
+  GroupUsesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc81d385940f4d6d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -3758,6 +3808,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingEndpoint::Reader {
+public:
+  typedef LeavingEndpoint Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::int64_t getBornMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingEndpoint::Builder {
+public:
+  typedef LeavingEndpoint Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::int64_t getBornMillis();
+  inline void setBornMillis( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingEndpoint::Pipeline {
+public:
+  typedef LeavingEndpoint Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SyncRequest::Reader {
 public:
   typedef SyncRequest Reads;
@@ -3808,6 +3944,9 @@
 
   inline  ::uint64_t getReplicasDigest() const;
 
+  inline bool hasLeavingEndpoints() const;
+  inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader getLeavingEndpoints() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3898,6 +4037,13 @@
   inline  ::uint64_t getReplicasDigest();
   inline void setReplicasDigest( ::uint64_t value);
 
+  inline bool hasLeavingEndpoints();
+  inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder getLeavingEndpoints();
+  inline void setLeavingEndpoints( ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder initLeavingEndpoints(unsigned int size);
+  inline void adoptLeavingEndpoints(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>> disownLeavingEndpoints();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4694,6 +4840,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::bamboogap::wire::Node::EndpointDepartsParams,  ::bamboogap::wire::Node::EndpointDepartsResults> endpointDepartsRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::bamboogap::wire::Node::GroupUsesParams,  ::bamboogap::wire::Node::GroupUsesResults> groupUsesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -4766,6 +4914,10 @@
   typedef  ::bamboogap::wire::Node::EndpointDepartsResults EndpointDepartsResults;
   typedef ::capnp::CallContext<EndpointDepartsParams, EndpointDepartsResults> EndpointDepartsContext;
   virtual ::kj::Promise<void> endpointDeparts(EndpointDepartsContext context);
+  typedef  ::bamboogap::wire::Node::GroupUsesParams GroupUsesParams;
+  typedef  ::bamboogap::wire::Node::GroupUsesResults GroupUsesResults;
+  typedef ::capnp::CallContext<GroupUsesParams, GroupUsesResults> GroupUsesContext;
+  virtual ::kj::Promise<void> groupUses(GroupUsesContext context);
 
   inline  ::bamboogap::wire::Node::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -7151,6 +7303,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class Node::GroupUsesParams::Reader {
+public:
+  typedef GroupUsesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplica() const;
+  inline  ::capnp::Text::Reader getReplica() const;
+
+  inline  ::uint16_t getRouters() const;
+
+  inline bool hasUses() const;
+  inline  ::capnp::Data::Reader getUses() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::GroupUsesParams::Builder {
+public:
+  typedef GroupUsesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReplica();
+  inline  ::capnp::Text::Builder getReplica();
+  inline void setReplica( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReplica(unsigned int size);
+  inline void adoptReplica(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReplica();
+
+  inline  ::uint16_t getRouters();
+  inline void setRouters( ::uint16_t value);
+
+  inline bool hasUses();
+  inline  ::capnp::Data::Builder getUses();
+  inline void setUses( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownUses();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::GroupUsesParams::Pipeline {
+public:
+  typedef GroupUsesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::GroupUsesResults::Reader {
+public:
+  typedef GroupUsesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::GroupUsesResults::Builder {
+public:
+  typedef GroupUsesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::GroupUsesResults::Pipeline {
+public:
+  typedef GroupUsesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -10297,6 +10616,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool LeavingEndpoint::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingEndpoint::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeavingEndpoint::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeavingEndpoint::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingEndpoint::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeavingEndpoint::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingEndpoint::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeavingEndpoint::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t LeavingEndpoint::Reader::getBornMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeavingEndpoint::Builder::getBornMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingEndpoint::Builder::setBornMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SyncRequest::Reader::hasRouter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -10593,6 +10960,40 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::hasLeavingEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasLeavingEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getLeavingEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getLeavingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setLeavingEndpoints( ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initLeavingEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptLeavingEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownLeavingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool SyncReply::Reader::getCurrent() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -12427,6 +12828,88 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Node::GroupUsesParams::Reader::hasReplica() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::GroupUsesParams::Builder::hasReplica() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Node::GroupUsesParams::Reader::getReplica() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Node::GroupUsesParams::Builder::getReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::GroupUsesParams::Builder::setReplica( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Node::GroupUsesParams::Builder::initReplica(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Node::GroupUsesParams::Builder::adoptReplica(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Node::GroupUsesParams::Builder::disownReplica() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Node::GroupUsesParams::Reader::getRouters() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Node::GroupUsesParams::Builder::getRouters() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::GroupUsesParams::Builder::setRouters( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::GroupUsesParams::Reader::hasUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::GroupUsesParams::Builder::hasUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Node::GroupUsesParams::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Node::GroupUsesParams::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Node::GroupUsesParams::Builder::setUses( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Node::GroupUsesParams::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Node::GroupUsesParams::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Node::GroupUsesParams::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -222,6 +222,10 @@
             continue;
         if (request.avoid && request.avoid->count(key) > 0)
             continue;
+        if (standing.quiet.isQuiet(now)) {
+            gathered.sawQuiet = true;
+            continue;
+        }
         if (standing.health.isEjected(now)
             || (standing.health.onProbation(now) && standing.running > 0)) {
             ejected.push_back({ key, &standing, request.promptTokens });
@@ -289,8 +293,9 @@
     Gathered gathered = gather(request, now);
     std::vector<Candidate> &candidates = gathered.candidates;
     if (candidates.empty()) {
-        return tl::unexpected(gathered.sawCold ? PlacementProblem::Cold
-                                               : PlacementProblem::NoEndpoint);
+        return tl::unexpected(gathered.sawCold            ? PlacementProblem::Cold
+                                      : gathered.sawQuiet ? PlacementProblem::Quiet
+                                                          : PlacementProblem::NoEndpoint);
     }
     const bool engine = !request.model.empty();
     if (engine) {
@@ -350,6 +355,28 @@
     }
 }
 
+void EndpointBoard::askedForQuiet(EndpointKey key, int64_t bornMillis, Duration duration,
+                                  Instant now)
+{
+    const auto found = standings_.find(key);
+    if (found != standings_.end() && found->second.bornMillis == bornMillis)
+        found->second.quiet.ask(duration, now);
+}
+
+Duration EndpointBoard::quietLeft(std::string_view service, Instant now) const
+{
+    Duration least {};
+    for (const auto &[key, standing] : standings_) {
+        if (standing.service != service || !standing.usable || standing.out)
+            continue;
+        const Duration left = standing.quiet.left(now);
+        if (left == Duration {})
+            return left;
+        least = least == Duration {} ? left : std::min(least, left);
+    }
+    return least;
+}
+
 void EndpointBoard::firstToken(EndpointKey key, uint32_t unreadTokens, double expectedMillis,
                                Duration latency)
 {
@@ -447,6 +474,8 @@
         return "no_endpoint";
     case PlacementProblem::Cold:
         return "only_cold_endpoints";
+    case PlacementProblem::Quiet:
+        return "only_quiet_endpoints";
     }
     return "no_endpoint";
 }
--- a/routing/endpointboard.h
+++ b/routing/endpointboard.h
@@ -28,6 +28,7 @@
 #include "routing/coldpace.h"
 #include "routing/endpointhealth.h"
 #include "routing/prefixcache.h"
+#include "routing/quietperiod.h"
 #include "routing/routetable.h"
 
 namespace bamboogap {
@@ -66,6 +67,7 @@
 enum class PlacementProblem {
     NoEndpoint, // none announced, or all draining, out of service or tried
     Cold, // only cold endpoints are left and their pace is used up
+    Quiet, // all that are left asked for no requests for a while
 };
 
 struct Placement
@@ -105,6 +107,7 @@
         double slowness = 1; // observed over expected time, decayed
         double usualMillis = 0; // of plain requests, decayed; 0 before the first
         EndpointHealth health;
+        QuietPeriod quiet;
         ColdPace pace;
         PrefixCache cache;
 
@@ -126,6 +129,12 @@
     // A request goes to the endpoint now. unreadTokens is what the placement expects
     // it to read there; the same number goes to firstToken() and ended().
     void began(EndpointKey key, const PlacementRequest &request, uint32_t unreadTokens);
+    // The endpoint wants no request from this router for so long. Ignored if another
+    // incarnation has its place meanwhile.
+    void askedForQuiet(EndpointKey key, int64_t bornMillis, Duration duration, Instant now);
+    // Until the first endpoint of a service takes requests again; zero unless all that
+    // may be used asked for quiet.
+    Duration quietLeft(std::string_view service, Instant now) const;
     // Its first token or byte came.
     void firstToken(EndpointKey key, uint32_t unreadTokens, double expectedMillis,
                     Duration latency);
@@ -160,6 +169,7 @@
     {
         std::vector<Candidate> candidates;
         bool sawCold = false; // some were left out for their pace
+        bool sawQuiet = false; // some were left out since they asked for quiet
         double mostLoad = 0; // the load bound
     };
 
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -252,6 +252,65 @@
     assert reached == 0, f"{reached} of {len(late)} requests reached the runner that had left"
 
 
+def leaving_in_answers(fleet):
+    """An endpoint says in its answers that it leaves, and no replica can be reached."""
+    served(fleet)
+    for node in fleet.replicas:
+        node.send(signal.SIGSTOP)
+    leaving = fleet.runners[0]
+
+    def says_so(handler, runner):
+        request = handler.headers["X-Attempt-Id"]
+        runner.runs.append(request)
+        runner.answer(handler, 200, b"whole answer of " + request.encode(),
+                      {"Server-Leaving": "1"})
+        return True
+
+    leaving.behave = says_so
+    for _ in range(60):
+        assert fleet.ask("/read/1")[0] == 200
+    assert len(leaving.runs) == 1, f"{len(leaving.runs)} requests after it said that it leaves"
+    # The other router hears it from the replicas, though heartbeats still say ready.
+    for node in fleet.replicas:
+        node.send(signal.SIGCONT)
+    wait_for(lambda: all(not item["usable"] for router in fleet.routers
+                         for item in router.status()["endpoints"]
+                         if item["id"] == leaving.name), DRAIN_SECONDS + 1, "both routers know")
+    time.sleep(1.0)  # two more heartbeats
+    for number in range(20):
+        assert fleet.ask("/read/1", router=number % 2)[0] == 200
+    assert len(leaving.runs) == 1
+
+
+def quiet_endpoints(fleet):
+    """Endpoints that turn requests away and ask for quiet get none for so long."""
+    served(fleet)
+    asked = {}  # time at which each one asked for quiet
+
+    def sheds(handler, runner):
+        asked.setdefault(runner.name, []).append(time.monotonic())
+        runner.answer(handler, 503, b"", {"X-Not-Executed": "1", "Retry-After": "2"},
+                      signed=False)
+        return True
+
+    for runner in fleet.runners[:2]:
+        runner.behave = sheds
+    answered = []
+    for _ in range(40):
+        began = time.monotonic()
+        status, headers, _ = fleet.ask("/order/1", "POST", b"{}")
+        assert status == 503, status
+        answered.append((time.monotonic() - began, float(headers["Retry-After"])))
+    assert time.monotonic() - asked["plain-a"][0] < 1.9, "too slow to show anything"
+    assert all(len(times) == 1 for times in asked.values()), asked
+    assert max(took for took, _ in answered) < 0.5, "a refusal that was known was held"
+    assert all(after > 0.25 for _, after in answered)
+    for runner in fleet.runners[:2]:
+        runner.behave = None
+    time.sleep(2.0)
+    assert fleet.ask("/order/1", "POST", b"{}")[0] == 200
+
+
 def outage(fleet):
     other = fleet.runner("plain-c", "plain", data_centre="dc2")
     served(fleet)
