Large fleets: each router tells its work to one replica, replicas share the sums

Each of 195 routers reported to all five replicas every 1.56 s and heard from one, so a placement acted on work of about 1.5 s ago, while a hazard flag lives 0.2 s; all who heard the same sum chose alike.

Change: above 31 routers a router reports its work to its source only, every 2 ms a router (390 ms at 195), and the other replicas tell each other the sums of their groups every 150 ms (fleet/worksums.h, RPC groupUses): four messages a round each way, whatever the number of routers. Reports to all stay at 8 ms a router and carry no work. Sums that leave routers out are scaled up to all that are alive, twice at most. Small fleets report as before. A router counts as alive for 20 ms a router at least: at 411 routers the report interval was longer than the 3 s.

--- a/fleet/routerboard.cc
+++ b/fleet/routerboard.cc
@@ -41,6 +41,17 @@
     return bytes;
 }
 
+std::vector<EndpointUse> unpackUses(std::string_view bytes)
+{
+    std::vector<EndpointUse> uses;
+    uses.reserve(bytes.size() / kPackedBytes);
+    for (size_t at = 0; at + kPackedBytes <= bytes.size(); at += kPackedBytes) {
+        uses.push_back({ extract(bytes, at, 4), extract(bytes, at + 4, 2),
+                         extract(bytes, at + 6, 2) * kTokensUnit });
+    }
+    return uses;
+}
+
 void unpackUses(std::string_view bytes, std::vector<EndpointUse> &uses)
 {
     std::unordered_map<uint32_t, size_t> byKey;
@@ -49,12 +60,12 @@
         uses[i].unreadTokens = 0;
         byKey[static_cast<uint32_t>(uses[i].key)] = i;
     }
-    for (size_t at = 0; at + kPackedBytes <= bytes.size(); at += kPackedBytes) {
-        const auto found = byKey.find(extract(bytes, at, 4));
+    for (const EndpointUse &told : unpackUses(bytes)) {
+        const auto found = byKey.find(static_cast<uint32_t>(told.key));
         if (found == byKey.end())
             continue;
-        uses[found->second].running = extract(bytes, at + 4, 2);
-        uses[found->second].unreadTokens = extract(bytes, at + 6, 2) * kTokensUnit;
+        uses[found->second].running = told.running;
+        uses[found->second].unreadTokens = told.unreadTokens;
     }
 }
 
@@ -77,13 +88,14 @@
     return digest;
 }
 
-void RouterBoard::report(RouterReport report, Instant now)
+bool RouterBoard::report(RouterReport report, Instant now)
 {
     Entry &entry = routers_[report.name];
     if (report.incarnation < entry.report.incarnation)
-        return;
+        return false;
     entry.report = std::move(report);
     entry.heardAt = now;
+    return true;
 }
 
 void RouterBoard::leave(std::string_view name)
@@ -93,31 +105,17 @@
         routers_.erase(found);
 }
 
-std::vector<EndpointUse> RouterBoard::usesOfOthers(std::string_view name, Instant now) const
+Duration RouterBoard::aliveFor() const
 {
-    std::map<EndpointKey, EndpointUse> sums;
-    for (const auto &[router, entry] : routers_) {
-        if (router == name || now - entry.heardAt > kAlive)
-            continue;
-        for (const EndpointUse &use : entry.report.uses) {
-            EndpointUse &sum = sums[use.key];
-            sum.key = use.key;
-            sum.running += use.running;
-            sum.unreadTokens += use.unreadTokens;
-        }
-    }
-    std::vector<EndpointUse> list;
-    list.reserve(sums.size());
-    for (const auto &[key, sum] : sums)
-        list.push_back(sum);
-    return list;
+    return std::max<Duration>(kAlive, routers_.size() * kAlivePerRouter);
 }
 
 uint32_t RouterBoard::aliveCount(Instant now) const
 {
     uint32_t count = 0;
+    const Duration alive = aliveFor();
     for (const auto &[name, entry] : routers_)
-        count += now - entry.heardAt <= kAlive;
+        count += now - entry.heardAt <= alive;
     return count;
 }
 
@@ -134,10 +132,11 @@
 uint32_t RouterBoard::rankOf(std::string_view name, Instant now) const
 {
     uint32_t rank = 0;
+    const Duration alive = aliveFor();
     for (const auto &[router, entry] : routers_) {
         if (router >= name)
             break;
-        rank += now - entry.heardAt <= kAlive;
+        rank += now - entry.heardAt <= alive;
     }
     return rank;
 }
--- a/fleet/routerboard.h
+++ b/fleet/routerboard.h
@@ -1,5 +1,5 @@
-// What a control replica knows of the direct routers: which are alive, and the sum
-// of what they have under way at each endpoint.
+// What a control replica knows of the direct routers: which are alive, and how work at
+// endpoints is written in their reports and its answers. See fleet/worksums.h for the sums.
 
 #ifndef BAMBOOGAP_FLEET_ROUTERBOARD_H
 #define BAMBOOGAP_FLEET_ROUTERBOARD_H
@@ -30,6 +30,10 @@
 // requests, and the unread tokens in units of 64. Values that do not fit are cut off.
 std::string packUses(const std::vector<EndpointUse> &uses);
 
+// The uses in packed bytes; their keys are the low halves only. Bytes that are no whole
+// entry are ignored.
+std::vector<EndpointUse> unpackUses(std::string_view bytes);
+
 // Fills the uses from packed bytes by the low half of their keys; uses that are not
 // among the bytes get zeros. Bytes that are no whole entry are ignored.
 void unpackUses(std::string_view bytes, std::vector<EndpointUse> &uses);
@@ -47,25 +51,27 @@
     uint64_t incarnation = 0; // a later process of the router has a higher one
     std::string dataCentre;
     uint64_t routesVersion = 0; // that it acts by
-    std::vector<EndpointUse> uses;
 };
 
 class RouterBoard
 {
 public:
-    // A router that said nothing for this long no longer counts: three times the
-    // longest interval at which routers report.
+    // A router that said nothing for this long no longer counts. In a large fleet routers
+    // report to a replica less often; see kAlivePerRouter.
     static constexpr Duration kAlive = std::chrono::seconds(3);
+    // Two and a half times the interval that each router adds to the reports of all.
+    static constexpr Duration kAlivePerRouter = std::chrono::milliseconds(20);
 
     // Of the 4 KB/s that a node may spend on control.
     static constexpr double kUsesBytesPerSecond = 3000;
 
-    void report(RouterReport report, Instant now);
-    // The router ends; its last uses no longer count.
+    // False if a later process of the router has reported already.
+    bool report(RouterReport report, Instant now);
+    // The router ends.
     void leave(std::string_view name);
 
-    // Sums over all live routers but the one named.
-    std::vector<EndpointUse> usesOfOthers(std::string_view name, Instant now) const;
+    // How long a router may be silent and still count.
+    Duration aliveFor() const;
     uint32_t aliveCount(Instant now) const;
     // Whether the sum is due for a router, so that telling it takes no more than the
     // bytes a second that a node may spend on it. Counts as told if so.
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -21,6 +21,9 @@
 // Other replicas answer within a few crossings; an endpoint gives up after a second.
 constexpr Duration kDepartureLimit = std::chrono::milliseconds(400);
 constexpr Duration kTick = std::chrono::milliseconds(500);
+// Between two sums of a group's work to the other replicas, and the limit of one.
+constexpr Duration kShareGroup = std::chrono::milliseconds(150);
+constexpr Duration kGroupLimit = std::chrono::milliseconds(600);
 // Crashes of different endpoints under one request before it is refused everywhere.
 // Two leave room for an innocent request that met two crashes in a row.
 constexpr size_t kCrashesToQuarantine = 3;
@@ -78,6 +81,13 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> groupUses(GroupUsesContext context) override
+    {
+        const auto told = context.getParams();
+        front_.noteGroup(toView(told.getReplica()), told.getRouters(), toView(told.getUses()));
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> routes(RoutesContext context) override
     {
         const Deployment &deployment = control()->deployment();
@@ -122,6 +132,7 @@
 
 void ReplicaFront::start()
 {
+    loop_.every(kShareGroup, [this] { shareGroup(); });
     loop_.every(kTick, [this] {
         roster_.tick(BootClock::now());
         if (suspects_.hasExpired(wallClockMillis())) {
@@ -145,17 +156,15 @@
     const std::string name(toView(request.getRouter()));
     if (request.getLeaving()) {
         routers_.leave(name);
+        work_.remove(name);
     } else {
-        RouterReport report { name,
-                              request.getIncarnation(),
+        RouterReport report { name, request.getIncarnation(),
                               std::string(toView(request.getDataCentre())),
-                              request.getRoutesVersion(),
-                              {} };
-        for (const auto use : request.getUses())
-            report.uses.push_back({ use.getKey(), use.getRunning(), use.getUnreadTokens() });
+                              request.getRoutesVersion() };
         if (routers_.routers().count(name) == 0)
             logEvent(LogLevel::Info, "router_joined", { { "router", name } });
-        routers_.report(std::move(report), now);
+        if (routers_.report(std::move(report), now))
+            noteWork(name, request, now);
     }
     for (const auto crash : request.getCrashes())
         noteCrash(name, crash.getFingerprint(), std::string(toView(crash.getCrash())));
@@ -189,7 +198,7 @@
     reply.setChanged(toData(records));
     if (request.getWantsOthers() && routers_.mayTellUses(name, roster_.size() * 8, now)) {
         reply.setHasUses(true);
-        const std::string uses = packUses(routers_.usesOfOthers(name, now));
+        const std::string uses = packUses(work_.othersOf(name, routers_.aliveCount(now)));
         reply.setUses(toData(uses));
     }
     reply.setRouters(routers_.aliveCount(now));
@@ -213,6 +222,51 @@
     }
 }
 
+void ReplicaFront::noteWork(std::string_view router, wire::SyncRequest::Reader request, Instant now)
+{
+    const bool toAll = !request.getReportsToSourceOnly();
+    if (!toAll && !request.getWantsOthers()) {
+        work_.remove(router); // another replica is its source
+        return;
+    }
+    std::vector<EndpointUse> uses;
+    uses.reserve(request.getUses().size());
+    for (const auto use : request.getUses())
+        uses.push_back({ use.getKey(), use.getRunning(), use.getUnreadTokens() });
+    work_.report(router, uses, toAll, now);
+}
+
+void ReplicaFront::noteGroup(std::string_view replica, uint32_t routers, std::string_view uses)
+{
+    work_.groupReport(replica, routers, uses, BootClock::now());
+}
+
+// Tells the other replicas what the routers of this one's group have under way.
+void ReplicaFront::shareGroup()
+{
+    work_.tick(BootClock::now(), routers_.aliveFor());
+    if (work_.groupSize() == 0)
+        return;
+    const std::string packed = packUses(work_.group());
+    for (const Replica &member : control_.membership().members) {
+        const std::string address = member.address;
+        if (address == settings_.address || groupsInFlight_.count(address) > 0)
+            continue;
+        groupsInFlight_.insert(address);
+        auto request = peers_.node(address, Lane::Control).groupUsesRequest();
+        request.setReplica(settings_.address);
+        request.setRouters(std::min<uint32_t>(work_.groupSize(), UINT16_MAX));
+        request.setUses(toData(packed));
+        loop_.detach(loop_.within(kGroupLimit, request.send().ignoreResult())
+                             .then([this, address] { groupsInFlight_.erase(address); },
+                                   // The next one follows; routers see the age in their logs.
+                                   [this, address](kj::Exception &&) {
+                                       groupsInFlight_.erase(address);
+                                   }),
+                     "share a group's work");
+    }
+}
+
 // Told by a router in its report: an endpoint's answers are often ahead of its heartbeats.
 void ReplicaFront::noteLeaving(std::string_view router, std::string_view endpointId,
                                int64_t bornMillis)
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -11,6 +11,7 @@
 #include "fleet/placementlog.h"
 #include "fleet/roster.h"
 #include "fleet/routerboard.h"
+#include "fleet/worksums.h"
 #include "node/controlserver.h"
 #include "node/controltask.h"
 #include "node/dialect.h"
@@ -42,6 +43,8 @@
     void sync(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply);
     // Another replica was told of a departure.
     void noteDeparture(std::string_view endpointId, std::string_view record, int64_t wallMillis);
+    // The work of another replica's group.
+    void noteGroup(std::string_view replica, uint32_t routers, std::string_view uses);
     const RouterBoard &routers() const { return routers_; }
     const HeardRoster &roster() const { return roster_; }
 
@@ -64,6 +67,8 @@
     // Fulfilled with whether so many of the other replicas hold it.
     kj::Promise<bool> shareDeparture(const std::string &endpointId,
                                      std::span<const EndpointRecord> record, int64_t wallMillis);
+    void noteWork(std::string_view router, wire::SyncRequest::Reader request, Instant now);
+    void shareGroup();
     void noteLeaving(std::string_view router, std::string_view endpointId, int64_t bornMillis);
     void noteCrash(std::string_view router, Fingerprint fingerprint, const std::string &crash);
     void refreshQuarantine();
@@ -77,6 +82,8 @@
     HttpServer *server_ = nullptr;
     HeardRoster roster_;
     RouterBoard routers_;
+    WorkSums work_;
+    std::set<std::string> groupsInFlight_; // by the replica that is told
     PlacementLog placements_;
     Suspects suspects_;
     // The requests to be refused everywhere, and how often that changed. Only these go
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -37,6 +37,9 @@
 // Each router adds this to the interval, so that a replica's work stays bounded in
 // a large fleet: 2,000 reports a second would take a fifth of a core.
 constexpr Duration kIntervalPerRouter = std::chrono::milliseconds(8);
+// The same for reports to a router's source, which carry and bring the loads: a fifth of
+// the routers report to a replica so often.
+constexpr Duration kSourceIntervalPerRouter = std::chrono::milliseconds(2);
 // Between reports of a router that has no routes yet: a few crossings, so that it
 // serves as soon as a leader is there.
 constexpr Duration kIntervalWithoutRoutes = std::chrono::milliseconds(50);
@@ -59,6 +62,7 @@
 {
     followReplicas();
     syncAll();
+    syncSource();
 }
 
 std::vector<std::string> SyncTask::targets() const
@@ -84,8 +88,7 @@
     const Instant now = BootClock::now();
     markLost(now);
     chooseSource();
-    for (PromptPlacement &placement : hooks_.takePlacements())
-        placements_.add({}, std::move(placement));
+    takePlacements();
     for (auto &[address, link] : links_) {
         if (!link.inFlight && now >= link.askAgainAt)
             sync(address);
@@ -95,6 +98,29 @@
     loop_.detach(loop_.sleep(interval).then([this]() { syncAll(); }), "sync");
 }
 
+// In a large fleet the source hears of this router's work more often than the other
+// replicas hear from it at all, and tells of the others' work as often.
+void SyncTask::syncSource()
+{
+    const Instant now = BootClock::now();
+    if (reportsToSourceOnly(fleet_.routers)) {
+        chooseSource();
+        takePlacements();
+        const auto source = links_.find(sourceOfOthers_);
+        if (source != links_.end() && !source->second.inFlight && now >= source->second.askAgainAt)
+            sync(source->first);
+    }
+    const Duration interval
+            = std::max<Duration>(settings_.interval, fleet_.routers * kSourceIntervalPerRouter);
+    loop_.detach(loop_.sleep(interval).then([this]() { syncSource(); }), "sync with the source");
+}
+
+void SyncTask::takePlacements()
+{
+    for (PromptPlacement &placement : hooks_.takePlacements())
+        placements_.add({}, std::move(placement));
+}
+
 void SyncTask::chooseSource()
 {
     std::vector<std::string> reachable;
@@ -130,7 +156,11 @@
     request.setSuspectsVersion(link.suspectsVersion);
     request.setLeaving(leaving_);
     request.setRoutesVersion(table_ ? table_->version() : 0);
-    const std::vector<EndpointUse> own = hooks_.uses();
+    const bool isSource = address == sourceOfOthers_;
+    const bool sourceOnly = reportsToSourceOnly(fleet_.routers);
+    request.setReportsToSourceOnly(sourceOnly);
+    const std::vector<EndpointUse> own
+            = sourceOnly && !isSource ? std::vector<EndpointUse>() : hooks_.uses();
     auto uses = request.initUses(own.size());
     for (size_t i = 0; i < own.size(); ++i) {
         uses[i].setKey(own[i].key);
@@ -154,7 +184,7 @@
     uint64_t placementsSent = link.placementsSent;
     const auto placed = placements_.since(placementsSent, "-", kMaxPlacementsSent);
     write(placed, request.initPlacements(placed.size()));
-    request.setWantsOthers(address == sourceOfOthers_);
+    request.setWantsOthers(isSource);
     request.setPlacementsVersion(link.placementsVersion);
     request.setReplicasDigest(digestOfReplicas(members_));
     link.inFlight = true;
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -20,6 +20,7 @@
 #include "fleet/placementlog.h"
 #include "fleet/roster.h"
 #include "fleet/routerboard.h"
+#include "fleet/worksums.h"
 #include "node/eventloop.h"
 #include "node/peers.h"
 #include "routing/coldpace.h"
@@ -106,6 +107,8 @@
     };
 
     void syncAll();
+    void syncSource();
+    void takePlacements();
     void sync(const std::string &address);
     void onReply(const std::string &address, wire::SyncReply::Reader reply);
     void onFailure(const std::string &address, const kj::Exception &problem);
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -251,6 +251,7 @@
   placementsVersion @12 :UInt64;
   replicasDigest @13 :UInt64;  # of the list that the router has
   leavingEndpoints @14 :List(LeavingEndpoint);  # since the last sync that was answered
+  reportsToSourceOnly @15 :Bool;  # uses are told to the replica with wantsOthers only
 }
 
 struct SyncReply {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -3947,6 +3947,8 @@
   inline bool hasLeavingEndpoints() const;
   inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader getLeavingEndpoints() const;
 
+  inline bool getReportsToSourceOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4044,6 +4046,9 @@
   inline void adoptLeavingEndpoints(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>> disownLeavingEndpoints();
 
+  inline bool getReportsToSourceOnly();
+  inline void setReportsToSourceOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10994,6 +10999,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::getReportsToSourceOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getReportsToSourceOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setReportsToSourceOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<258>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SyncReply::Reader::getCurrent() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
