Bytes without end: bounded heads, lines, bodies and requests, on both paths

Change: heads are bounded (limits.max_head_bytes), unparsed bytes of an answer too (256 KB, both paths); answers that are held until whole have a bound together (limits.max_held_bytes), beyond which the longest is given up; events without end end their stream; at most four 100s, no other interim answer. A caller that does not take its stream pauses the endpoint instead of filling memory. A request has to be whole 30 s after its first byte (limits.whole_request_ms), at routers and replicas, and cannot outgrow head and body bounds by its chunk lines. An event stream no longer scans an event again for each part.

Tried and dropped: a high watermark on the buffers. evhttp's read callback then runs without end and starves the control loop: knowledge_age_ms grew to 37 s while requests went on (gdb: evbuffer_readln from the deferred read callback).

Not bounded together: requests that many callers send at once, each up to max_body_bytes.

--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -2,6 +2,7 @@
 // refusing.
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -93,12 +94,70 @@
 {
     Active &active = *active_.at(id);
     if (!active.success || !active.isStream) {
-        active.body += data;
+        hold(active, data);
         return;
     }
     const std::string events = active.events.feed(data);
     if (!events.empty())
         relay(active, events);
+    if (active.events.overlong())
+        breakOff(id, active.call, "an event without end");
+}
+
+// Answers that are not streamed go on when they are whole. Beyond the bound for all of
+// them the longest is given up: an endpoint that sends without end must not cost the others
+// theirs.
+void DirectRouter::hold(Active &active, std::string_view data)
+{
+    active.body += data;
+    heldBytes_ += data.size();
+    if (heldBytes_ <= settings_.maxHeldBytes)
+        return;
+    const auto longest = std::max_element(
+            active_.begin(), active_.end(), [](const auto &left, const auto &right) {
+                return left.second->body.size() < right.second->body.size();
+            });
+    dropBody(*longest->second);
+    breakOff(longest->first, longest->second->call, "answers without end fill the memory");
+}
+
+void DirectRouter::dropBody(Active &active)
+{
+    heldBytes_ -= active.body.size();
+    active.body = {};
+}
+
+// Gives up an attempt whose answer is none. Deferred: its connection may be reading now.
+void DirectRouter::breakOff(ExchangeId id, CallId call, std::string_view reason)
+{
+    loop_.detach(kj::evalLater([this, id, call, reason]() {
+                     const auto found = active_.find(id);
+                     if (found == active_.end() || found->second->call != call || call == 0)
+                         return;
+                     pool_.cancel(call);
+                     onEnd(id, CallEnd::Broken, reason);
+                 }),
+                 "broken answer");
+}
+
+// The endpoint is read no faster than the caller takes its stream.
+void DirectRouter::pauseForCaller(Active &active, kj::Promise<void> taken)
+{
+    active.paused = true;
+    pool_.pause(active.call, true);
+    const ExchangeId id = active.id;
+    loop_.detach(taken.then(
+                         [this, id]() {
+                             const auto found = active_.find(id);
+                             if (found == active_.end())
+                                 return;
+                             found->second->paused = false;
+                             found->second->lastEventAt = BootClock::now();
+                             if (found->second->call != 0)
+                                 pool_.pause(found->second->call, false);
+                         },
+                         [](kj::Exception &&) {}), // the caller left, or a later part waits
+                 "caller takes its stream");
 }
 
 void DirectRouter::relay(Active &active, std::string_view events)
@@ -120,9 +179,9 @@
             headers.push_back({ "Connection", "close" });
         server_->startStream(active.id, active.status, {}, headers);
     }
-    // The output buffer is bounded by the endpoint's answer, which is bounded.
     auto taken = server_->chunk(active.id, events);
-    (void)taken;
+    if (server_->isBehind(active.id))
+        pauseForCaller(active, kj::mv(taken));
     if (mayRunAgain(active))
         armTimer(active, attemptLimit(active));
 }
@@ -241,7 +300,8 @@
     reply.headers = dialect_.callerHeaders(active.headers);
     if (stopping_)
         reply.headers.push_back({ "Connection", "close" });
-    reply.body = std::move(active.body);
+    heldBytes_ -= active.body.size();
+    reply.body = std::exchange(active.body, {});
     metrics_.observe("bamboogap_answer_seconds", {}, BootClock::now() - active.arrivedAt);
     logEnd(active, active.status, active.success ? "whole" : "endpoint_failed");
     const ExchangeId id = active.id;
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -145,6 +145,9 @@
         DirectRouterSettings routing;
         routing.dataCentre = settings_.dataCentre;
         routing.retries = settings_.direct.retries;
+        routing.pool.maxAnswerBytes = settings_.endpoint.maxAnswerBytes;
+        routing.pool.maxHeadBytes = settings_.endpoint.maxHeadBytes;
+        routing.maxHeldBytes = settings_.endpoint.maxHeldBytes;
         router_ = std::make_unique<DirectRouter>(loop_, dialect_, routing, metrics_);
         SyncSettings sync { settings_.name, static_cast<uint64_t>(wallClockMillis()),
                             settings_.dataCentre, settings_.controlReplicas,
--- a/node/directrequest.h
+++ b/node/directrequest.h
@@ -53,8 +53,11 @@
     Instant firstEventAt {};
     Instant lastEventAt {};
 
+    bool paused = false; // the caller does not keep up with the endpoint
+
     ~Active()
     {
+        router->heldBytes_ -= body.size();
         if (timer)
             event_free(timer);
     }
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -233,7 +233,8 @@
     active.headers.clear();
     active.head = {};
     active.success = false;
-    active.body.clear();
+    dropBody(active);
+    active.paused = false;
     ++active.sends;
 
     Dispatch dispatch;
@@ -288,6 +289,8 @@
 Instant DirectRouter::attemptLimit(const Active &active) const
 {
     const Instant last = active.deadline + kDeadlineSlack;
+    if (active.paused)
+        return last; // the caller's pace, not the endpoint's
     const bool mayMove = mayRunAgain(active) && active.runs + 1 < active.route->maxAttempts;
     if (!mayMove)
         return last;
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -32,6 +32,8 @@
     BoardSettings board;
     RetryWindowSettings retries;
     PoolLimits pool;
+    // Of all answers together that are held until they are whole.
+    size_t maxHeldBytes = 32 << 20;
 };
 
 class DirectRouter
@@ -74,6 +76,10 @@
     bool onHead(ExchangeId id, int status, std::span<const HttpHeader> headers);
     void heedEndpoint(const Active &active);
     void onData(ExchangeId id, std::string_view data);
+    void hold(Active &active, std::string_view data);
+    void dropBody(Active &active);
+    void breakOff(ExchangeId id, CallId call, std::string_view reason);
+    void pauseForCaller(Active &active, kj::Promise<void> taken);
     void onEnd(ExchangeId id, CallEnd end, std::string_view reason);
     void onTimer(ExchangeId id);
     void onCallerGone(ExchangeId id);
@@ -108,6 +114,7 @@
     std::map<std::string, RetryWindow, std::less<>> retries_; // by service
     std::map<ExchangeId, std::unique_ptr<Active>> active_;
     std::set<ExchangeId> waiting_; // for a place
+    size_t heldBytes_ = 0; // in the bodies of active_
     std::mt19937_64 random_;
     bool stopping_ = false;
     Instant lastCall_ = Instant::max();
--- a/node/endpointcall.cc
+++ b/node/endpointcall.cc
@@ -27,6 +27,7 @@
 
 // Reading from the endpoint pauses while this much waits to be handed on.
 constexpr size_t kUnhandledBytes = 256 << 10;
+constexpr int kContinue = 100;
 
 class EndpointCall
 {
@@ -64,6 +65,7 @@
         const timeval silence { silenceMillis / 1000, (silenceMillis % 1000) * 1000 };
         evhttp_connection_set_timeout_tv(connection_, &silence);
         evhttp_connection_set_max_body_size(connection_, -1);
+        boundReading(connection_, limits_.maxHeadBytes);
         evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
                         &EndpointCall::onOutput, this);
         auto paf = kj::newPromiseAndFulfiller<void>();
@@ -205,6 +207,9 @@
 
     bool readHead(evhttp_request *request)
     {
+        const int status = evhttp_request_get_response_code(request);
+        if (status < HTTP_OK)
+            return status == kContinue && ++interimAnswers_ <= kMostInterimAnswers;
         const evkeyvalq *headers = evhttp_request_get_input_headers(request);
         const auto header = [headers](const char *name) -> std::string {
             const char *value = evhttp_find_header(headers, name);
@@ -274,6 +279,7 @@
     evhttp_request *inFlight_ = nullptr;
     EndpointOutcome outcome_;
     std::string error_;
+    int interimAnswers_ = 0;
     bool asked_ = false; // whether it may be sent
     bool foreign_ = false;
     bool headRead_ = false;
--- a/node/endpointpool.cc
+++ b/node/endpointpool.cc
@@ -24,6 +24,7 @@
 // Unacknowledged data on a silent connection fails it after this, in milliseconds:
 // as long as callers wait for a first sign of life.
 constexpr int kUnackedMillis = 2000;
+constexpr int kContinue = 100;
 
 void setSocketOptions(evutil_socket_t socket)
 {
@@ -60,6 +61,7 @@
     CallHooks hooks;
     std::string_view reason = "connection failed";
     size_t received = 0;
+    int interimAnswers = 0;
     bool headSeen = false;
     bool mayKeep = false;
     event *connectTimer = nullptr;
@@ -87,6 +89,15 @@
 {
     auto *call = static_cast<Call *>(context);
     call->stopConnectTimer();
+    // evhttp reads on after 100 Continue; it would take any other interim answer for the
+    // final one.
+    const int status = evhttp_request_get_response_code(request);
+    if (status < HTTP_OK) {
+        if (status == kContinue && ++call->interimAnswers <= kMostInterimAnswers)
+            return 0;
+        call->reason = "an interim answer that is not expected";
+        return -1;
+    }
     std::vector<HttpHeader> headers;
     const evkeyvalq *input = evhttp_request_get_input_headers(request);
     for (const evkeyval *item = input->tqh_first; item; item = item->next.tqe_next)
@@ -94,7 +105,7 @@
     const char *connection = evhttp_find_header(input, "Connection");
     call->mayKeep = !connection || evutil_ascii_strcasecmp(connection, "close") != 0;
     call->headSeen = true;
-    if (call->hooks.onHead(evhttp_request_get_response_code(request), headers))
+    if (call->hooks.onHead(status, headers))
         return 0;
     call->reason = "answer refused";
     call->mayKeep = false;
@@ -199,6 +210,7 @@
     evhttp_connection_set_retries(connection->http, 0);
     evhttp_connection_set_max_body_size(connection->http,
                                         static_cast<ev_ssize_t>(limits_.maxAnswerBytes));
+    boundReading(connection->http, limits_.maxHeadBytes);
     // Callers' deadlines end a call; evhttp's own limit only backs them up.
     const timeval backstop = toTimeval(std::chrono::minutes(10));
     evhttp_connection_set_timeout_tv(connection->http, &backstop);
@@ -299,6 +311,18 @@
         retire(std::move(call->connection));
 }
 
+void EndpointPool::pause(CallId id, bool paused)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || !found->second->connection)
+        return;
+    bufferevent *buffered = evhttp_connection_get_bufferevent(found->second->connection->http);
+    if (paused)
+        bufferevent_disable(buffered, EV_READ);
+    else
+        bufferevent_enable(buffered, EV_READ);
+}
+
 void EndpointPool::setKeepAlive(CallId id, Duration keepAlive)
 {
     const auto found = calls_.find(id);
--- a/node/endpointpool.h
+++ b/node/endpointpool.h
@@ -49,6 +49,7 @@
     // endpoint may close it while the request is on its way.
     Duration freshIdle = std::chrono::milliseconds(500);
     size_t maxAnswerBytes = 16 << 20;
+    size_t maxHeadBytes = 64 << 10;
 };
 
 struct PoolCall
@@ -72,6 +73,8 @@
     CallId start(const PoolCall &call, CallHooks hooks);
     // Closes the call's connection, which tells the endpoint to stop.
     void cancel(CallId id);
+    // Stops reading the answer, or goes on: the endpoint waits once the links are full.
+    void pause(CallId id, bool paused);
     // How long the answer's connection may be kept, from its headers.
     void setKeepAlive(CallId id, Duration keepAlive);
 
--- a/node/httpclient.cc
+++ b/node/httpclient.cc
@@ -1,5 +1,8 @@
 #include "node/httpclient.h"
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
 namespace bamboogap {
 
 evhttp_cmd_type methodType(std::string_view method)
@@ -19,6 +22,25 @@
     return EVHTTP_REQ_GET;
 }
 
+void boundReading(evhttp_connection *connection, size_t maxHeadBytes)
+{
+    evhttp_connection_set_max_headers_size(connection, static_cast<ev_ssize_t>(maxHeadBytes));
+    bufferevent *buffered = evhttp_connection_get_bufferevent(connection);
+    evbuffer_add_cb(
+            bufferevent_get_input(buffered),
+            [](evbuffer *input, const evbuffer_cb_info *info, void *context) {
+                if (info->n_added > 0 && evbuffer_get_length(input) > kMostUnparsedBytes)
+                    failConnection(static_cast<bufferevent *>(context));
+            },
+            buffered);
+}
+
+void failConnection(bufferevent *buffered)
+{
+    bufferevent_trigger_event(buffered, BEV_EVENT_READING | BEV_EVENT_ERROR,
+                              BEV_OPT_DEFER_CALLBACKS);
+}
+
 std::string_view reasonOf(evhttp_request_error error)
 {
     switch (error) {
--- a/node/httpclient.h
+++ b/node/httpclient.h
@@ -7,11 +7,27 @@
 
 #include <event2/http.h>
 
+struct bufferevent;
+
 namespace bamboogap {
 
 // GET for a method that evhttp does not know.
 evhttp_cmd_type methodType(std::string_view method);
 
+// Most bytes of an answer that wait in a connection's buffer to be parsed: a line that is
+// longer, such as that of a chunk's size, never ends.
+inline constexpr size_t kMostUnparsedBytes = 256 << 10;
+// Interim answers (100 Continue) before the final one.
+inline constexpr int kMostInterimAnswers = 4;
+
+// Bounds what a connection to an endpoint holds of an answer's head and of what is not
+// parsed yet; beyond that it fails.
+void boundReading(evhttp_connection *connection, size_t maxHeadBytes);
+
+// Fails a connection whose buffer holds more than it should, once its callbacks have run. Not
+// by a watermark: evhttp's callback then runs again without end.
+void failConnection(bufferevent *buffered);
+
 // How a connection failed, for logs and answers.
 std::string_view reasonOf(evhttp_request_error error);
 
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -8,6 +8,7 @@
 #include "node/httpserver.h"
 
 #include <cstring>
+#include <optional>
 #include <strings.h>
 
 #include <event2/buffer.h>
@@ -17,12 +18,18 @@
 #include <fmt/format.h>
 #include <kj/debug.h>
 
+#include "base/log.h"
+#include "node/httpclient.h"
+
 namespace bamboogap {
 
 namespace {
 
 // A chunk waits for the caller while this much has not been taken.
 constexpr size_t kUntakenBytes = 64 << 10;
+// Room for the sizes and trailers of a request's chunks beside its head and body.
+constexpr size_t kFramingBytes = 64 << 10;
+constexpr Duration kLookForSlow = std::chrono::milliseconds(250);
 
 constexpr ev_uint16_t kMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT
         | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
@@ -106,6 +113,49 @@
     }
 };
 
+// How long a connection has been bringing a request that is not whole. Holds the buffer by
+// a reference, since evhttp tells nobody when it frees a connection.
+struct HttpServer::Reading
+{
+    bufferevent *buffered = nullptr;
+    size_t mostBytes = 0; // of a request that is not whole
+    std::optional<Instant> since; // the first byte of the request
+    bool answering = false; // the request was whole; its answer is on its way
+
+    Reading(bufferevent *of, size_t most)
+        : buffered(of)
+        , mostBytes(most)
+    {
+        bufferevent_incref(buffered);
+        evbuffer_add_cb(bufferevent_get_input(buffered), &Reading::onInput, this);
+    }
+    Reading(const Reading &) = delete;
+    Reading &operator=(const Reading &) = delete;
+    ~Reading()
+    {
+        evbuffer_remove_cb(bufferevent_get_input(buffered), &Reading::onInput, this);
+        bufferevent_decref(buffered);
+    }
+
+    static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *context)
+    {
+        auto *reading = static_cast<Reading *>(context);
+        if (info->n_added == 0)
+            return;
+        if (!reading->since)
+            reading->since = BootClock::now();
+        if (evbuffer_get_length(input) > reading->mostBytes)
+            failConnection(reading->buffered);
+    }
+
+    bool isClosed() const
+    {
+        bufferevent_event_cb onEvent = nullptr;
+        bufferevent_getcb(buffered, nullptr, nullptr, &onEvent, nullptr);
+        return !onEvent;
+    }
+};
+
 std::string_view HttpRequest::header(std::string_view name) const
 {
     for (const HttpHeader &header : headers) {
@@ -162,6 +212,43 @@
     evhttp_set_allowed_methods(http_, kMethods);
     setLimits(limits);
     evhttp_set_gencb(http_, &HttpServer::onRequest, this);
+    evhttp_set_bevcb(http_, &HttpServer::onConnection, this);
+    loop_.every(kLookForSlow, [this, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired())
+            closeSlow();
+    });
+}
+
+bufferevent *HttpServer::onConnection(event_base *base, void *context)
+{
+    auto *server = static_cast<HttpServer *>(context);
+    bufferevent *buffered = bufferevent_socket_new(base, -1, 0);
+    if (!buffered)
+        return nullptr; // evhttp makes one of its own or gives up
+    const HttpLimits &limits = server->limits_;
+    const size_t mostBytes = limits.maxHeaderBytes + limits.maxBodyBytes + kFramingBytes;
+    server->readings_[buffered] = std::make_unique<Reading>(buffered, mostBytes);
+    return buffered;
+}
+
+// Closes connections whose request does not become whole, also if its bytes trickle.
+void HttpServer::closeSlow()
+{
+    std::erase_if(readings_, [](const auto &item) { return item.second->isClosed(); });
+    const Instant now = BootClock::now();
+    std::vector<bufferevent *> slow;
+    for (const auto &[buffered, reading] : readings_) {
+        if (!reading->answering && reading->since && now - *reading->since > limits_.wholeRequest)
+            slow.push_back(buffered);
+    }
+    for (bufferevent *buffered : slow) {
+        logEvent(LogLevel::Info, "slow_request_closed",
+                 { { "limit_ms", fmt::to_string(toMillis(limits_.wholeRequest)) },
+                   { "unread_bytes",
+                     fmt::to_string(evbuffer_get_length(bufferevent_get_input(buffered))) } });
+        readings_.at(buffered)->since.reset();
+        bufferevent_trigger_event(buffered, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+    }
 }
 
 HttpServer::~HttpServer()
@@ -179,6 +266,10 @@
     const evutil_socket_t socket = bufferevent_getfd(buffered);
     setNoDelay(socket);
     server->idle_.erase(connection);
+    if (const auto reading = server->readings_.find(buffered); reading != server->readings_.end()) {
+        reading->second->answering = true;
+        reading->second->since.reset();
+    }
     const timeval readerLimit = toTimeval(server->limits_.slowReader);
     bufferevent_set_timeouts(buffered, nullptr, &readerLimit);
 
@@ -220,6 +311,14 @@
     HttpServer *server = exchange->server;
     evhttp_connection *connection = evhttp_request_get_connection(request);
     if (connection) {
+        bufferevent *buffered = evhttp_connection_get_bufferevent(connection);
+        if (const auto reading = server->readings_.find(buffered);
+            reading != server->readings_.end()) {
+            reading->second->answering = false;
+            reading->second->since.reset();
+            if (evbuffer_get_length(bufferevent_get_input(buffered)) > 0)
+                reading->second->since = BootClock::now();
+        }
         const timeval limit = toTimeval(server->limits_.slowSender);
         bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection), &limit, &limit);
         server->idle_.insert(connection);
@@ -307,6 +406,16 @@
     return kj::mv(paf.promise);
 }
 
+bool HttpServer::isBehind(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->gone)
+        return false;
+    evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+    evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    return evbuffer_get_length(output) > kUntakenBytes;
+}
+
 kj::Promise<void> HttpServer::flush(ExchangeId id)
 {
     Exchange *exchange = find(id);
--- a/node/httpserver.h
+++ b/node/httpserver.h
@@ -18,6 +18,8 @@
 #include "node/eventloop.h"
 #include "node/settings.h"
 
+struct bufferevent;
+struct event_base;
 struct evhttp;
 struct evhttp_connection;
 struct evhttp_bound_socket;
@@ -74,6 +76,8 @@
     // Fulfilled when the caller has taken enough for the next chunk; rejected
     // when the caller has gone.
     kj::Promise<void> chunk(ExchangeId id, std::string_view data);
+    // Whether the caller has yet to take so much that chunk() waits for it.
+    bool isBehind(ExchangeId id);
     // Fulfilled when everything that was written so far has been sent.
     kj::Promise<void> flush(ExchangeId id);
     void endStream(ExchangeId id);
@@ -95,15 +99,19 @@
 
 private:
     struct Exchange;
+    struct Reading;
 
     HttpServer(EventLoop &loop, const HttpLimits &limits, Handler handler);
 
     static void onRequest(evhttp_request *request, void *context);
     static void onComplete(evhttp_request *request, void *context);
+    static bufferevent *onConnection(event_base *base, void *context);
+    void closeSlow();
     void closed(ExchangeId id);
     Exchange *find(ExchangeId id);
 
     EventLoop &loop_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); // ends with this server
     HttpLimits limits_;
     Handler handler_;
     evhttp *http_ = nullptr;
@@ -111,6 +119,7 @@
     ExchangeId lastId_ = 0;
     std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
     std::set<evhttp_connection *> idle_;
+    std::map<bufferevent *, std::unique_ptr<Reading>> readings_; // of open connections
 };
 
 } // namespace bamboogap
--- a/node/settings.cc
+++ b/node/settings.cc
@@ -406,6 +406,8 @@
             "max_body_bytes", settings.http.maxBodyBytes, 1024, 256 << 20, "bytes");
     settings.http.slowSender
             = section.millis("slow_sender_ms", settings.http.slowSender, 100, 600000);
+    settings.http.wholeRequest
+            = section.millis("whole_request_ms", settings.http.wholeRequest, 100, 600000);
     settings.http.slowReader
             = section.millis("slow_reader_ms", settings.http.slowReader, 100, 600000);
     settings.endpoint.connect
@@ -414,6 +416,10 @@
             = section.millis("answer_silence_ms", settings.endpoint.silence, 100, 3600000);
     settings.endpoint.maxAnswerBytes = section.number<size_t>(
             "max_answer_bytes", settings.endpoint.maxAnswerBytes, 1024, 256 << 20, "bytes");
+    settings.endpoint.maxHeadBytes = section.number<size_t>(
+            "max_head_bytes", settings.endpoint.maxHeadBytes, 1024, 1 << 20, "bytes");
+    settings.endpoint.maxHeldBytes = section.number<size_t>(
+            "max_held_bytes", settings.endpoint.maxHeldBytes, 1024, 1 << 30, "bytes");
 }
 
 void readLog(const YAML::Node &root, Settings &settings, Problems &problems)
--- a/node/settings.h
+++ b/node/settings.h
@@ -52,7 +52,8 @@
 {
     size_t maxHeaderBytes = 16 << 10;
     size_t maxBodyBytes = 4 << 20;
-    Duration slowSender = std::chrono::seconds(20); // a request must be whole by then
+    Duration slowSender = std::chrono::seconds(20); // a request must make progress by then
+    Duration wholeRequest = std::chrono::seconds(30); // from its first byte to its last
     Duration slowReader = std::chrono::seconds(60); // an answer must make progress by then
 };
 
@@ -61,6 +62,9 @@
     Duration connect = std::chrono::seconds(2);
     Duration silence = std::chrono::seconds(120); // between two parts of an answer
     size_t maxAnswerBytes = 16 << 20; // of an answer that is not streamed
+    size_t maxHeadBytes = 64 << 10; // status line and headers of an answer
+    // Of all answers together that a direct router holds until they are whole.
+    size_t maxHeldBytes = 32 << 20;
 };
 
 struct RoutingSettings
--- a/routing/eventstream.cc
+++ b/routing/eventstream.cc
@@ -35,12 +35,14 @@
 
 std::string EventStream::feed(std::string_view data)
 {
+    constexpr size_t kLongestEnd = 4; // of an event; it may have come in part
+    size_t from = partial_.size() - std::min(partial_.size(), kLongestEnd - 1);
     partial_ += data;
     std::string whole;
     size_t begin = 0;
     while (true) {
-        const size_t lineFeeds = partial_.find("\n\n", begin);
-        const size_t carriageReturns = partial_.find("\r\n\r\n", begin);
+        const size_t lineFeeds = partial_.find("\n\n", from);
+        const size_t carriageReturns = partial_.find("\r\n\r\n", from);
         const bool crlf = carriageReturns < lineFeeds;
         const size_t end = crlf ? carriageReturns : lineFeeds;
         if (end == std::string::npos)
@@ -53,6 +55,7 @@
         const size_t next = end + (crlf ? 4 : 2);
         whole += std::string_view(partial_).substr(begin, next - begin);
         begin = next;
+        from = next;
     }
     partial_.erase(0, begin);
     return whole;
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -65,6 +65,7 @@
         lines += [f"    - {node.host}:{ports['control']}" for node in self.fleet.replicas[:3]]
         lines += ["control:", "  log_heartbeat_ms: 100", "  election_min_ms: 400",
                   "  election_max_ms: 800", "  snapshot_every: 20"]
+        lines += self.fleet.more_settings
         with open(self.settings, "w", encoding="utf-8") as out:
             out.write("\n".join(lines) + "\n")
 
@@ -234,6 +235,7 @@
                              False) for i in range(routers)]
         self.runners = []
         self.number = 0
+        self.more_settings = []  # lines of YAML for every node
 
     def start(self):
         for node in self.replicas + self.routers:
