--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -8,7 +8,6 @@
 #include "node/httpserver.h"
 
 #include <cstring>
-#include <optional>
 #include <strings.h>
 
 #include <event2/buffer.h>
@@ -29,7 +28,7 @@
 constexpr size_t kUntakenBytes = 64 << 10;
 // Room for the sizes and trailers of a request's chunks beside its head and body.
 constexpr size_t kFramingBytes = 64 << 10;
-constexpr Duration kLookForSlow = std::chrono::milliseconds(250);
+constexpr Duration kLookForSlow = std::chrono::seconds(1);
 
 constexpr ev_uint16_t kMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT
         | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
@@ -113,46 +112,23 @@
     }
 };
 
-// How long a connection has been bringing a request that is not whole. Holds the buffer by
-// a reference, since evhttp tells nobody when it frees a connection.
-struct HttpServer::Reading
+// Sees the bytes that callers send on one connection. evhttp tells nobody when it frees a
+// connection's buffer, and a reference to it would keep its events on a socket that is
+// closed; so a watch stays until its address is used again, and only the buffer calls it.
+struct HttpServer::Watch
 {
+    HttpServer *server = nullptr;
     bufferevent *buffered = nullptr;
     size_t mostBytes = 0; // of a request that is not whole
-    std::optional<Instant> since; // the first byte of the request
-    bool answering = false; // the request was whole; its answer is on its way
-
-    Reading(bufferevent *of, size_t most)
-        : buffered(of)
-        , mostBytes(most)
-    {
-        bufferevent_incref(buffered);
-        evbuffer_add_cb(bufferevent_get_input(buffered), &Reading::onInput, this);
-    }
-    Reading(const Reading &) = delete;
-    Reading &operator=(const Reading &) = delete;
-    ~Reading()
-    {
-        evbuffer_remove_cb(bufferevent_get_input(buffered), &Reading::onInput, this);
-        bufferevent_decref(buffered);
-    }
 
     static void onInput(evbuffer *input, const evbuffer_cb_info *info, void *context)
     {
-        auto *reading = static_cast<Reading *>(context);
+        const auto *watch = static_cast<Watch *>(context);
         if (info->n_added == 0)
             return;
-        if (!reading->since)
-            reading->since = BootClock::now();
-        if (evbuffer_get_length(input) > reading->mostBytes)
-            failConnection(reading->buffered);
-    }
-
-    bool isClosed() const
-    {
-        bufferevent_event_cb onEvent = nullptr;
-        bufferevent_getcb(buffered, nullptr, nullptr, &onEvent, nullptr);
-        return !onEvent;
+        watch->server->onBytes(watch->buffered);
+        if (evbuffer_get_length(input) > watch->mostBytes)
+            failConnection(watch->buffered);
     }
 };
 
@@ -213,10 +189,6 @@
     setLimits(limits);
     evhttp_set_gencb(http_, &HttpServer::onRequest, this);
     evhttp_set_bevcb(http_, &HttpServer::onConnection, this);
-    loop_.every(kLookForSlow, [this, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired())
-            closeSlow();
-    });
 }
 
 bufferevent *HttpServer::onConnection(event_base *base, void *context)
@@ -226,28 +198,64 @@
     if (!buffered)
         return nullptr; // evhttp makes one of its own or gives up
     const HttpLimits &limits = server->limits_;
-    const size_t mostBytes = limits.maxHeaderBytes + limits.maxBodyBytes + kFramingBytes;
-    server->readings_[buffered] = std::make_unique<Reading>(buffered, mostBytes);
+    auto watch = std::make_unique<Watch>();
+    watch->server = server;
+    watch->buffered = buffered;
+    watch->mostBytes = limits.maxHeaderBytes + limits.maxBodyBytes + kFramingBytes;
+    evbuffer_add_cb(bufferevent_get_input(buffered), &Watch::onInput, watch.get());
+    server->watches_[buffered] = std::move(watch);
     return buffered;
 }
 
+// Notes the first byte of a request.
+void HttpServer::onBytes(bufferevent *buffered)
+{
+    void *context = nullptr; // evhttp's own, the connection
+    bufferevent_getcb(buffered, nullptr, nullptr, nullptr, &context);
+    auto *connection = static_cast<evhttp_connection *>(context);
+    if (!connection || answering_.count(connection) > 0 || reading_.count(connection) > 0)
+        return;
+    reading_[connection] = BootClock::now();
+    evhttp_connection_set_closecb(
+            connection,
+            [](evhttp_connection *closing, void *raw) {
+                auto *server = static_cast<HttpServer *>(raw);
+                server->idle_.erase(closing);
+                server->reading_.erase(closing);
+            },
+            this);
+    if (!lookingForSlow_) {
+        lookingForSlow_ = true;
+        lookForSlow();
+    }
+}
+
+void HttpServer::lookForSlow()
+{
+    loop_.detach(loop_.sleep(kLookForSlow).then([this, alive = std::weak_ptr<bool>(alive_)]() {
+        if (alive.expired())
+            return;
+        closeSlow();
+        lookingForSlow_ = !reading_.empty();
+        if (lookingForSlow_)
+            lookForSlow();
+    }),
+                 "look for slow requests");
+}
+
 // Closes connections whose request does not become whole, also if its bytes trickle.
 void HttpServer::closeSlow()
 {
-    std::erase_if(readings_, [](const auto &item) { return item.second->isClosed(); });
     const Instant now = BootClock::now();
-    std::vector<bufferevent *> slow;
-    for (const auto &[buffered, reading] : readings_) {
-        if (!reading->answering && reading->since && now - *reading->since > limits_.wholeRequest)
-            slow.push_back(buffered);
+    std::vector<evhttp_connection *> slow;
+    for (const auto &[connection, since] : reading_) {
+        if (now - since > limits_.wholeRequest)
+            slow.push_back(connection);
     }
-    for (bufferevent *buffered : slow) {
+    for (evhttp_connection *connection : slow) {
         logEvent(LogLevel::Info, "slow_request_closed",
-                 { { "limit_ms", fmt::to_string(toMillis(limits_.wholeRequest)) },
-                   { "unread_bytes",
-                     fmt::to_string(evbuffer_get_length(bufferevent_get_input(buffered))) } });
-        readings_.at(buffered)->since.reset();
-        bufferevent_trigger_event(buffered, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+                 { { "limit_ms", fmt::to_string(toMillis(limits_.wholeRequest)) } });
+        evhttp_connection_free(connection); // its close callback takes it off the lists
     }
 }
 
@@ -266,10 +274,8 @@
     const evutil_socket_t socket = bufferevent_getfd(buffered);
     setNoDelay(socket);
     server->idle_.erase(connection);
-    if (const auto reading = server->readings_.find(buffered); reading != server->readings_.end()) {
-        reading->second->answering = true;
-        reading->second->since.reset();
-    }
+    server->reading_.erase(connection);
+    server->answering_.insert(connection);
     const timeval readerLimit = toTimeval(server->limits_.slowReader);
     bufferevent_set_timeouts(buffered, nullptr, &readerLimit);
 
@@ -285,9 +291,10 @@
     event_add(exchange->closeEvent, nullptr);
     evhttp_connection_set_closecb(
             connection,
-            [](evhttp_connection *, void *raw) {
+            [](evhttp_connection *gone, void *raw) {
                 auto *closing = static_cast<Exchange *>(raw);
                 closing->request = nullptr;
+                closing->server->answering_.erase(gone);
                 closing->server->closed(closing->id);
             },
             exchange.get());
@@ -311,14 +318,7 @@
     HttpServer *server = exchange->server;
     evhttp_connection *connection = evhttp_request_get_connection(request);
     if (connection) {
-        bufferevent *buffered = evhttp_connection_get_bufferevent(connection);
-        if (const auto reading = server->readings_.find(buffered);
-            reading != server->readings_.end()) {
-            reading->second->answering = false;
-            reading->second->since.reset();
-            if (evbuffer_get_length(bufferevent_get_input(buffered)) > 0)
-                reading->second->since = BootClock::now();
-        }
+        server->answering_.erase(connection);
         const timeval limit = toTimeval(server->limits_.slowSender);
         bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection), &limit, &limit);
         server->idle_.insert(connection);
@@ -451,6 +451,7 @@
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
     exchange->request = nullptr;
     exchanges_.erase(id);
+    answering_.erase(connection);
     evhttp_connection_free(connection);
 }
 
@@ -469,6 +470,7 @@
     const auto idle = std::move(idle_);
     idle_.clear();
     for (evhttp_connection *connection : idle) {
+        reading_.erase(connection);
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
         evhttp_connection_free(connection);
     }
--- a/node/httpserver.h
+++ b/node/httpserver.h
@@ -99,13 +99,15 @@
 
 private:
     struct Exchange;
-    struct Reading;
+    struct Watch;
 
     HttpServer(EventLoop &loop, const HttpLimits &limits, Handler handler);
 
     static void onRequest(evhttp_request *request, void *context);
     static void onComplete(evhttp_request *request, void *context);
     static bufferevent *onConnection(event_base *base, void *context);
+    void onBytes(bufferevent *buffered);
+    void lookForSlow();
     void closeSlow();
     void closed(ExchangeId id);
     Exchange *find(ExchangeId id);
@@ -119,7 +121,10 @@
     ExchangeId lastId_ = 0;
     std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
     std::set<evhttp_connection *> idle_;
-    std::map<bufferevent *, std::unique_ptr<Reading>> readings_; // of open connections
+    std::map<bufferevent *, std::unique_ptr<Watch>> watches_;
+    std::map<evhttp_connection *, Instant> reading_; // since the first byte of a request
+    std::set<evhttp_connection *> answering_; // the request was whole
+    bool lookingForSlow_ = false;
 };
 
 } // namespace bamboogap
