Large fleets: a spilled prompt stays at its first choice; every placement names a copy source

A router sees 1/195 of the placements; it believes a prompt to be at its first choice until it hears that it spilled. Then it believed it to be there only, and followed it until the next spill. And where its belief was wrong (an engine that came, restarted or was tried), no engine was named to copy from, so the prompt was read.

Change, for fleets whose routers report to their source only: the first settled choice is believed to hold a prompt whatever else was heard; each placement names the likeliest other holder, in the prompt's order over all that are there, also draining ones. A copy of what the engine holds costs nothing. Smaller fleets place as before.

--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -154,9 +154,11 @@
 }
 
 // What each candidate would have to read. A prompt whose shared parts this router
-// has not placed before was probably placed by others at its first choice.
+// has not placed before was probably placed by others at its first choice. In a large fleet
+// that holds for every prompt: one that a router hears to have spilled elsewhere is still at
+// its first choice, too.
 void EndpointBoard::believeCached(const PlacementRequest &request,
-                                  std::vector<Candidate> &candidates)
+                                  std::vector<Candidate> &candidates) const
 {
     const uint32_t own = request.prompt.empty() ? 0 : request.prompt.back().tokens;
     const uint32_t shared = request.promptTokens - std::min(request.promptTokens, own);
@@ -167,7 +169,7 @@
         candidate.holds = cached >= shared;
         known = known || candidate.holds;
     }
-    if (known)
+    if (known && !seesLittle())
         return;
     auto first = std::find_if(candidates.begin(), candidates.end(), [](const auto &candidate) {
         return !candidate.cold && candidate.settled;
@@ -199,6 +201,9 @@
             best = &standing;
         }
     }
+    // A copy of what the chosen one holds after all costs nothing.
+    if (!best && seesLittle())
+        best = likelyHolder(request, *chosen.standing, now);
     // Otherwise the first choice probably holds it through other routers.
     if (!best && held < settings_.leastCopiedTokens && !candidates.empty()
         && candidates.front().standing != chosen.standing)
@@ -206,6 +211,28 @@
     return best ? best->address : std::string();
 }
 
+// The first in the prompt's order that is there at all: prompts were placed in that order
+// before endpoints came, were taken out or began to drain.
+const EndpointBoard::Standing *EndpointBoard::likelyHolder(const PlacementRequest &request,
+                                                           const Standing &except,
+                                                           Instant now) const
+{
+    const Standing *best = nullptr;
+    std::pair<bool, uint64_t> highest;
+    for (const auto &[key, standing] : standings_) {
+        if (&standing == &except || standing.service != request.service || !standing.there
+            || standing.health.isEjected(now))
+            continue;
+        const bool settled = now - standing.firstSeen > kSettled;
+        const std::pair score { settled, combineHashes(request.affinity, key) };
+        if (!best || score > highest) {
+            best = &standing;
+            highest = score;
+        }
+    }
+    return best;
+}
+
 EndpointBoard::Gathered EndpointBoard::gather(const PlacementRequest &request, Instant now)
 {
     Gathered gathered;
--- a/routing/endpointboard.h
+++ b/routing/endpointboard.h
@@ -25,6 +25,7 @@
 #include "fleet/placementlog.h"
 #include "fleet/roster.h"
 #include "fleet/routerboard.h"
+#include "fleet/worksums.h"
 #include "routing/coldpace.h"
 #include "routing/endpointhealth.h"
 #include "routing/prefixcache.h"
@@ -179,9 +180,14 @@
     double bearablePerSecond(const Standing &standing) const;
     bool mayEject(std::string_view service, Instant now) const;
     double peerFailureShare(std::string_view service, EndpointKey except, Instant now) const;
-    static void believeCached(const PlacementRequest &request, std::vector<Candidate> &candidates);
+    // Whether this router sees so little of the traffic that its own beliefs about caches
+    // are mostly missing.
+    bool seesLittle() const { return reportsToSourceOnly(fleet_.routers); }
+    void believeCached(const PlacementRequest &request, std::vector<Candidate> &candidates) const;
     std::string copySource(const PlacementRequest &request, const Candidate &chosen,
                            std::span<const Candidate> candidates, Instant now) const;
+    const Standing *likelyHolder(const PlacementRequest &request, const Standing &except,
+                                 Instant now) const;
     void price(Candidate &candidate, const PlacementRequest &request, size_t rank) const;
 
     BoardSettings settings_;
