A request waits a moment for routes and endpoints at a router's start

Change: for 300 ms after it came, a request waits for routes that the router was not told yet, and in a router's first four seconds for a first endpoint of its service; what then isn't there is refused as before. Not known to be unservable, so it isn't held against the users' rule; each has a line "waits". Replicas forget routers that were silent for two minutes, so that their list stays bounded.

Ruled out: shorter limits for a router's first reports, which 195 routers at once would overload the replicas with.

Test: platform.waits_at_start (a router up before its first replica; red before is "no request that waited was served", as there was no waiting).

--- a/fleet/routerboard.cc
+++ b/fleet/routerboard.cc
@@ -105,6 +105,13 @@
         routers_.erase(found);
 }
 
+void RouterBoard::forget(Instant now)
+{
+    constexpr Duration kRemembered = std::chrono::minutes(2);
+    std::erase_if(routers_,
+                  [now](const auto &item) { return now - item.second.heardAt > kRemembered; });
+}
+
 Duration RouterBoard::aliveFor() const
 {
     return std::max<Duration>(kAlive, routers_.size() * kAlivePerRouter);
--- a/fleet/routerboard.h
+++ b/fleet/routerboard.h
@@ -70,6 +70,8 @@
     // The router ends.
     void leave(std::string_view name);
 
+    // Forgets routers that were silent for longer than any that is only cut off.
+    void forget(Instant now);
     // How long a router may be silent and still count.
     Duration aliveFor() const;
     uint32_t aliveCount(Instant now) const;
--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -192,6 +192,10 @@
         board.report({ "r" + std::to_string(i), 1, "dc1", 1 }, kStart);
     constexpr auto kInterval = milliseconds(8) * kRouters; // of reports to all replicas
     CHECK(board.aliveCount(kStart + 2 * kInterval) == kRouters);
+    board.forget(kStart + 2 * kInterval);
+    CHECK(board.routers().size() == kRouters);
+    board.forget(kStart + std::chrono::minutes(3));
+    CHECK(board.routers().empty());
 }
 
 TEST_CASE("uses come back from their packed form, as far as the router knows the endpoints")
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -32,6 +32,11 @@
 constexpr double kEventGapGoals = 4;
 // An answer of the endpoint itself at the deadline comes before ours.
 constexpr Duration kDeadlineSlack = std::chrono::milliseconds(60);
+// What a router that has just started does not know yet it is told within this time as a
+// rule: a request that waits so long may still meet its goal, one that is told to return does
+// not.
+constexpr Duration kWaitAtStart = std::chrono::milliseconds(300);
+constexpr Duration kStarting = std::chrono::seconds(4);
 constexpr Duration kNoRouteTimeout = std::chrono::seconds(30);
 
 Fingerprint fingerprintOf(const HttpRequest &request, std::string_view accessKey)
@@ -57,6 +62,7 @@
 
 void DirectRouter::start()
 {
+    startedAt_ = BootClock::now();
     loop_.every(kTick, [this] { placeWaiting(); });
     loop_.every(kCloseIdle, [this] {
         pool_.closeIdle();
@@ -84,6 +90,8 @@
     board_.update(sync_->roster(), sync_->dataCentresOut(), sync_->table().get(), now);
     board_.setOthers(sync_->others());
     board_.setFleet(sync_->fleet());
+    if (!waiting_.empty() && isStarting(now))
+        placeWaiting();
 }
 
 double DirectRouter::chance()
@@ -100,12 +108,35 @@
     active.request = std::move(request);
     active.arrivedAt = BootClock::now();
     active_[exchange] = std::move(owned);
-    if (!accept(active))
-        return;
     server_->onClosed(exchange, [this, exchange] { onCallerGone(exchange); });
     if (active_.count(exchange) == 0)
         return;
-    place(active);
+    if (!sync_->table() && !stopping_) {
+        if (const auto caller = dialect_.readCaller(active.request))
+            active.caller.id = caller->id;
+        waitFor(active, active.arrivedAt + kWaitAtStart, "no routes are known yet");
+        return;
+    }
+    if (accept(active))
+        place(active);
+}
+
+// Keeps a request until something may have changed for it, at the latest until `limit`.
+void DirectRouter::waitFor(Active &active, Instant limit, std::string_view reason)
+{
+    if (waiting_.insert(active.id).second) {
+        logEvent(LogLevel::Info, "waits",
+                 { { "request", active.caller.id },
+                   { "reason", std::string(reason) },
+                   { "most_ms", fmt::to_string(toMillis(limit - BootClock::now())) } });
+    }
+    armTimer(active, limit);
+}
+
+// A router that has just started is told of routes and endpoints within moments.
+bool DirectRouter::isStarting(Instant now) const
+{
+    return now - startedAt_ < kStarting;
 }
 
 // Reads and authorizes the request; false if it was refused.
@@ -194,9 +225,13 @@
         return;
     }
     const std::string_view problem = placementProblemName(placed.error());
-    if (placed.error() == PlacementProblem::Cold && now < active.waitUntil) {
-        waiting_.insert(active.id);
-        armTimer(active, active.waitUntil);
+    Instant limit {};
+    if (placed.error() == PlacementProblem::Cold)
+        limit = active.waitUntil;
+    else if (placed.error() == PlacementProblem::NoEndpoint && isStarting(now))
+        limit = active.arrivedAt + kWaitAtStart;
+    if (now < limit) {
+        waitFor(active, limit, problem);
         return;
     }
     waiting_.erase(active.id);
@@ -213,8 +248,22 @@
         if (found == active_.end())
             waiting_.erase(id);
         else
-            place(*found->second);
+            retryWaiting(*found->second);
+    }
+}
+
+void DirectRouter::retryWaiting(Active &active)
+{
+    if (active.route) {
+        place(active);
+        return;
     }
+    const bool inTime = BootClock::now() < active.arrivedAt + kWaitAtStart;
+    if (!sync_->table() && inTime && !stopping_)
+        return;
+    waiting_.erase(active.id);
+    if (accept(active)) // refuses if there are still no routes
+        place(active);
 }
 
 void DirectRouter::send(Active &active, const Placement &placement)
@@ -328,7 +377,7 @@
     Active &active = *found->second;
     const Instant now = BootClock::now();
     if (active.call == 0) {
-        place(active); // it waits for a place
+        retryWaiting(active);
         return;
     }
     if (now < attemptLimit(active)) {
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -101,6 +101,9 @@
     Duration returnTime(const Active &active, Refusal refusal);
     PlacementRequest placementRequest(const Active &active) const;
     void placeWaiting();
+    void retryWaiting(Active &active);
+    void waitFor(Active &active, Instant limit, std::string_view reason);
+    bool isStarting(Instant now) const;
     double chance();
 
     EventLoop &loop_;
@@ -113,7 +116,8 @@
     EndpointPool pool_;
     std::map<std::string, RetryWindow, std::less<>> retries_; // by service
     std::map<ExchangeId, std::unique_ptr<Active>> active_;
-    std::set<ExchangeId> waiting_; // for a place
+    std::set<ExchangeId> waiting_; // for a place, or for routes
+    Instant startedAt_ {};
     size_t heldBytes_ = 0; // in the bodies of active_
     std::mt19937_64 random_;
     bool stopping_ = false;
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -135,6 +135,7 @@
     loop_.every(kShareGroup, [this] { shareGroup(); });
     loop_.every(kTick, [this] {
         roster_.tick(BootClock::now());
+        routers_.forget(BootClock::now());
         if (suspects_.hasExpired(wallClockMillis())) {
             suspects_.expire(wallClockMillis());
             refreshQuarantine();
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -374,6 +374,48 @@
     wait_for(lambda: fleet.ask("/added-later/")[0] == 404, 5, "routers are sure again")
 
 
+def waits_at_start(fleet):
+    """Requests that come while a restarted router is not told of routes and endpoints yet wait
+    for them for a moment instead of being told to return."""
+    served(fleet)
+    fleet.install(8)  # stored with it: version 7 is committed
+    for node in fleet.replicas + fleet.routers:
+        node.kill()
+    router = fleet.routers[0]
+    router.write_settings(first_start=False)
+    router.start()
+    answers = []
+
+    def ask():
+        began = time.monotonic()
+        try:
+            status, headers, _ = fleet.ask("/read/1")
+            answers.append((headers["id"], status, time.monotonic() - began))
+        except OSError:
+            pass  # the port is not open yet
+
+    asking = []
+    end = time.monotonic() + 3
+    started = False
+    while time.monotonic() < end:
+        asking.append(threading.Thread(target=ask))
+        asking[-1].start()
+        time.sleep(0.02)
+        if not started and answers:
+            started = True  # the first refusal: the router is up and knows nothing
+            fleet.replicas[0].write_settings(first_start=False)
+            fleet.replicas[0].start()
+    for thread in asking:
+        thread.join()
+    with open(router.log, encoding="utf-8") as log:
+        waited = [line for line in log if "event=waits" in line]
+    ids = {request for request, status, _ in answers if status == 200}
+    kept = [line for line in waited if any(f"request={request} " in line for request in ids)]
+    assert kept, f"no request that waited was served; {len(waited)} waited"
+    refused = [took for _, status, took in answers if status == 503]
+    assert refused and max(refused) < 1, "a refusal was held"
+
+
 def lost_disks(fleet):
     served(fleet)
     assert fleet.control("POST", "/v1/evacuations/dc3")[0] == 200
