--- a/fleet/routerboard.cc
+++ b/fleet/routerboard.cc
@@ -11,6 +11,8 @@
 
 constexpr size_t kPackedBytes = 8;
 constexpr uint32_t kTokensUnit = 64;
+// Longer than any cut or restart from which a router comes back as the same one.
+constexpr Duration kRemembered = std::chrono::minutes(2);
 
 // Little-endian, whatever the machine's order.
 void append(std::string &bytes, uint32_t value, size_t size)
@@ -107,7 +109,6 @@
 
 void RouterBoard::forget(Instant now)
 {
-    constexpr Duration kRemembered = std::chrono::minutes(2);
     std::erase_if(routers_,
                   [now](const auto &item) { return now - item.second.heardAt > kRemembered; });
 }
