--- a/fleet/testing/worksums_test.cc
+++ b/fleet/testing/worksums_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include "fleet/reportlog.h"
 #include "fleet/worksums.h"
 
 namespace bamboogap {
@@ -109,6 +110,27 @@
     });
 }
 
+TEST_CASE("each replica is told every report once, also across dropped ones")
+{
+    ReportLog<int> log;
+    uint64_t told = 0;
+    int expected = 0;
+    std::mt19937 random(5);
+    for (int report = 0; report < 2000;) {
+        for (unsigned burst = random() % 100; burst > 0; --burst)
+            log.add(report++);
+        for (const int entry : log.since(told))
+            REQUIRE(entry == expected++);
+        told = log.end();
+        REQUIRE(expected == report);
+    }
+    // One that is behind gets the newest, in order; one from another time gets nothing wrong.
+    const auto late = log.since(0);
+    REQUIRE(late.size() >= ReportLog<int>::kKept / 2);
+    CHECK(late.back() == expected - 1);
+    CHECK(log.since(UINT64_MAX).empty());
+}
+
 TEST_CASE("sums of a group that cannot be right stay bounded")
 {
     WorkSums sums;
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -111,12 +111,6 @@
     server_->onClosed(exchange, [this, exchange] { onCallerGone(exchange); });
     if (active_.count(exchange) == 0)
         return;
-    if (!sync_->table() && !stopping_) {
-        if (const auto caller = dialect_.readCaller(active.request))
-            active.caller.id = caller->id;
-        waitFor(active, active.arrivedAt + kWaitAtStart, "no routes are known yet");
-        return;
-    }
     if (accept(active))
         place(active);
 }
@@ -139,7 +133,7 @@
     return now - startedAt_ < kStarting;
 }
 
-// Reads and authorizes the request; false if it was refused.
+// Reads and authorizes the request; false if it was refused or waits for routes.
 bool DirectRouter::accept(Active &active)
 {
     auto caller = dialect_.readCaller(active.request);
@@ -155,7 +149,12 @@
     }
     active.table = sync_->table();
     if (!active.table) {
-        refuse(active, Refusal::NotReady, "no routes are known yet");
+        constexpr std::string_view kReason = "no routes are known yet";
+        const Instant limit = active.arrivedAt + kWaitAtStart;
+        if (!stopping_ && BootClock::now() < limit)
+            waitFor(active, limit, kReason);
+        else
+            refuse(active, Refusal::NotReady, kReason);
         return false;
     }
     // The routes of a router that has just started may be older than those in force.
@@ -254,15 +253,7 @@
 
 void DirectRouter::retryWaiting(Active &active)
 {
-    if (active.route) {
-        place(active);
-        return;
-    }
-    const bool inTime = BootClock::now() < active.arrivedAt + kWaitAtStart;
-    if (!sync_->table() && inTime && !stopping_)
-        return;
-    waiting_.erase(active.id);
-    if (accept(active)) // refuses if there are still no routes
+    if (active.route || accept(active))
         place(active);
 }
 
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -470,7 +470,8 @@
     const auto idle = std::move(idle_);
     idle_.clear();
     for (evhttp_connection *connection : idle) {
-        reading_.erase(connection);
+        if (reading_.count(connection) > 0)
+            continue; // a request is coming in; its answer tells to close
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
         evhttp_connection_free(connection);
     }
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -43,8 +43,6 @@
 // Between reports of a router that has no routes yet: a few crossings, so that it
 // serves as soon as a leader is there.
 constexpr Duration kIntervalWithoutRoutes = std::chrono::milliseconds(50);
-constexpr size_t kMaxCrashesKept = 256;
-constexpr size_t kMaxLeavingKept = 256;
 constexpr size_t kMaxPlacementsSent = 256;
 
 } // namespace
@@ -167,20 +165,20 @@
         uses[i].setRunning(std::min<uint32_t>(own[i].running, UINT16_MAX));
         uses[i].setUnreadTokens(own[i].unreadTokens);
     }
-    const size_t known = std::min(link.crashesSent, crashes_.size());
-    auto crashes = request.initCrashes(crashes_.size() - known);
-    for (size_t i = known; i < crashes_.size(); ++i) {
-        crashes[i - known].setFingerprint(crashes_[i].fingerprint);
-        crashes[i - known].setCrash(crashes_[i].name);
+    const auto newCrashes = crashes_.since(link.crashesSent);
+    auto crashes = request.initCrashes(newCrashes.size());
+    for (size_t i = 0; i < newCrashes.size(); ++i) {
+        crashes[i].setFingerprint(newCrashes[i].fingerprint);
+        crashes[i].setCrash(newCrashes[i].name);
     }
-    const size_t sent = crashes_.size();
-    const size_t leavingKnown = std::min(link.leavingSent, leavingEndpoints_.size());
-    const size_t leavingSent = leavingEndpoints_.size();
-    auto leavingList = request.initLeavingEndpoints(leavingSent - leavingKnown);
-    for (size_t i = leavingKnown; i < leavingSent; ++i) {
-        leavingList[i - leavingKnown].setId(leavingEndpoints_[i].id);
-        leavingList[i - leavingKnown].setBornMillis(leavingEndpoints_[i].bornMillis);
+    const uint64_t crashesSent = crashes_.end();
+    const auto newLeaving = leavingEndpoints_.since(link.leavingSent);
+    auto leaving = request.initLeavingEndpoints(newLeaving.size());
+    for (size_t i = 0; i < newLeaving.size(); ++i) {
+        leaving[i].setId(newLeaving[i].id);
+        leaving[i].setBornMillis(newLeaving[i].bornMillis);
     }
+    const uint64_t leavingSent = leavingEndpoints_.end();
     uint64_t placementsSent = link.placementsSent;
     const auto placed = placements_.since(placementsSent, "-", kMaxPlacementsSent);
     write(placed, request.initPlacements(placed.size()));
@@ -191,19 +189,19 @@
     const Duration limit = link.reachable
             ? std::max<Duration>(kAnswerLimit, fleet_.routers * kAnswerPerRouter)
             : kFirstAnswerLimit + fleet_.routers * kIntervalPerRouter;
-    loop_.detach(
-            loop_.within(limit, call.send())
-                    .then(
-                            [this, address, sent, leavingSent, placementsSent](auto &&response) {
-                                links_[address].crashesSent = sent;
-                                links_[address].leavingSent = leavingSent;
-                                links_[address].placementsSent = placementsSent;
-                                onReply(address, response.getReply());
-                            },
-                            [this, address](kj::Exception &&problem) {
-                                onFailure(address, problem);
-                            }),
-            "sync");
+    loop_.detach(loop_.within(limit, call.send())
+                         .then(
+                                 [this, address, crashesSent, leavingSent,
+                                  placementsSent](auto &&response) {
+                                     links_[address].crashesSent = crashesSent;
+                                     links_[address].leavingSent = leavingSent;
+                                     links_[address].placementsSent = placementsSent;
+                                     onReply(address, response.getReply());
+                                 },
+                                 [this, address](kj::Exception &&problem) {
+                                     onFailure(address, problem);
+                                 }),
+                 "sync");
 }
 
 void SyncTask::onFailure(const std::string &address, const kj::Exception &problem)
@@ -357,12 +355,7 @@
 
 void SyncTask::reportCrash(const Crash &crash)
 {
-    if (crashes_.size() >= kMaxCrashesKept) {
-        crashes_.clear();
-        for (auto &[address, link] : links_)
-            link.crashesSent = 0;
-    }
-    crashes_.push_back(crash); // goes with the next report
+    crashes_.add(crash); // goes with the next report
     logEvent(LogLevel::Info, "endpoint_broke_off",
              { { "fingerprint", fmt::format("{:016x}", crash.fingerprint) },
                { "crash", crash.name } });
@@ -370,12 +363,7 @@
 
 void SyncTask::reportLeaving(LeavingEndpoint endpoint)
 {
-    if (leavingEndpoints_.size() >= kMaxLeavingKept) {
-        leavingEndpoints_.clear();
-        for (auto &[address, link] : links_)
-            link.leavingSent = 0;
-    }
-    leavingEndpoints_.push_back(std::move(endpoint));
+    leavingEndpoints_.add(std::move(endpoint));
 }
 
 void SyncTask::setSeeds(std::vector<std::string> seeds)
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -18,6 +18,7 @@
 
 #include "control/suspects.h"
 #include "fleet/placementlog.h"
+#include "fleet/reportlog.h"
 #include "fleet/roster.h"
 #include "fleet/routerboard.h"
 #include "fleet/worksums.h"
@@ -100,8 +101,8 @@
         Instant answeredAt {};
         Instant askAgainAt {};
         Duration retryAfter {};
-        size_t crashesSent = 0; // of crashes_ that the replica has
-        size_t leavingSent = 0; // of leavingEndpoints_ that the replica has
+        uint64_t crashesSent = 0; // position in crashes_ up to which the replica has them
+        uint64_t leavingSent = 0; // the same of leavingEndpoints_
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
         uint64_t placementsVersion = 0; // of others' placements, if it is their source
     };
@@ -132,8 +133,8 @@
     std::vector<EndpointUse> others_;
     FleetSize fleet_;
     std::map<Fingerprint, Standing> suspects_;
-    std::vector<Crash> crashes_;
-    std::vector<LeavingEndpoint> leavingEndpoints_;
+    ReportLog<Crash> crashes_;
+    ReportLog<LeavingEndpoint> leavingEndpoints_;
     PlacementLog placements_; // of this router, until every replica has them
     std::string sourceOfOthers_; // the replica that tells what the other routers do
     bool fetching_ = false;
