A replica whose disk was full comes back when there is room again

A replica that failed a write stood still until somebody started its process again, also with room on the disk.

Change: in a direct fleet the replica looks four times a second whether its disk takes writes again (16 KB written, synced, removed) and then ends its process; the platform starts it anew, and the log is opened as after a crash, which sorts out what the failed write left. Weighed: reopening within the process, which every holder of the replica would have to follow. Only for failed writes: damaged files still stop it. A file that may not grow is a failed write now, not the end of the process (SIGXFSZ is ignored).

Test: platform.disks_full_in_turn, files of three of five replicas in turn may not grow.

--- a/control/logstore.cc
+++ b/control/logstore.cc
@@ -392,6 +392,18 @@
     return {};
 }
 
+bool LogStore::diskTakesWrites()
+{
+    // A few blocks, as an entry takes.
+    constexpr std::string_view kProbe = "probe";
+    constexpr size_t kProbeBytes = 16 << 10;
+    const std::string name(kProbe);
+    const bool written = disk_.append(name, std::string(kProbeBytes, '\0')) && disk_.sync(name);
+    // Left behind it is harmless: open() reads files by their names.
+    const bool removed = disk_.remove(name).has_value();
+    return written && removed;
+}
+
 Result<void> LogStore::appendRecords(std::string_view records)
 {
     using namespace detail;
--- a/control/logstore.h
+++ b/control/logstore.h
@@ -51,6 +51,10 @@
     // given; the older files are removed.
     Result<void> storeSnapshot(const Snapshot &snapshot, const std::vector<LogEntry> &entries);
 
+    // Whether the disk takes writes again after one has failed. The store itself goes on
+    // refusing: what the failed write left behind is sorted out when the log is opened.
+    bool diskTakesWrites();
+
 private:
     Result<void> startGeneration(uint64_t generation, const Snapshot &snapshot,
                                  const std::vector<LogEntry> &entries);
--- a/node/bamboogapd.cc
+++ b/node/bamboogapd.cc
@@ -1,5 +1,6 @@
 // The daemon's command line.
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 
@@ -25,6 +26,8 @@
 
 int main(int argc, char **argv)
 {
+    // A file that may not grow is a failed write like any other, not the end.
+    std::signal(SIGXFSZ, SIG_IGN);
     std::string file;
     bool checkOnly = false;
     try {
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -498,6 +498,7 @@
 void ControlTask::stopReplica(const Error &error)
 {
     failed_ = true;
+    diskFailed_ = error.kind == ErrorKind::StorageFailed;
     coordinator_.reset();
     rejectPending();
     logEvent(LogLevel::Error, "replica_stopped",
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -93,6 +93,8 @@
     ReplicaId id() const { return raft_->id(); }
     bool inGroup() const { return raft_->lastIndex() > 0; }
     bool failed() const { return failed_; }
+    // Whether a replica that stopped for its disk could open its log again now.
+    bool mayReopen() { return diskFailed_ && store_.diskTakesWrites(); }
     nlohmann::json status() const;
 
 private:
@@ -136,6 +138,7 @@
     uint64_t sample_ = 0;
     bool draining_ = false;
     bool failed_ = false;
+    bool diskFailed_ = false; // and that is why
     bool wasMember_ = false;
     bool forming_ = false;
     std::map<LogIndex, Pending> pending_;
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -27,6 +27,7 @@
 
 constexpr Duration kFlushLog = std::chrono::milliseconds(250);
 constexpr Duration kWatchSettings = std::chrono::seconds(1);
+constexpr Duration kProbeDisk = std::chrono::milliseconds(250);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr Duration kHandOver = std::chrono::milliseconds(300);
 // The balancer probes every second and turns away after two misses; a connection
@@ -79,6 +80,7 @@
         if (replica_) {
             replica_->start();
             front_->start();
+            loop_.every(kProbeDisk, [this] { probeDisk(); });
         }
         if (router_) {
             router_->start();
@@ -298,6 +300,19 @@
         });
     }
 
+    // A replica whose disk failed stands still. Once the disk takes writes again the process
+    // ends, to be started anew by the platform and to open its log as after a crash: disks that
+    // fill up one after the other must not cost the group its majority.
+    void probeDisk()
+    {
+        if (restarting_ || !replica_->mayReopen())
+            return;
+        restarting_ = true;
+        logEvent(LogLevel::Warning, "replica_restarts",
+                 { { "reason", "the disk takes writes again" } });
+        stopAsked_->fulfill();
+    }
+
     std::filesystem::file_time_type settingsTime() const
     {
         std::error_code error; // a file that is being replaced shows up with the next look
@@ -338,6 +353,8 @@
     kj::Promise<void> stop()
     {
         stopping_ = true;
+        if (restarting_ && !router_)
+            return loop_.sleep(kDrainPoll); // orders under way have had their answers
         stopBegan_ = BootClock::now();
         quietSince_ = stopBegan_;
         logEvent(LogLevel::Info, "stop_began",
@@ -396,6 +413,7 @@
     std::filesystem::file_time_type settingsTime_ {};
     uint64_t limitsVersion_ = 0;
     bool stopping_ = false;
+    bool restarting_ = false;
     bool wasReady_ = false;
     Instant stopBegan_ {};
     Instant quietSince_ {};
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -444,6 +445,33 @@
     wait_for(lambda: fleet.routers[0].status()["data_centres_out"] == ["dc3"], 5, "outage kept")
 
 
+def disks_full_in_turn(fleet):
+    """Disks of three of five replicas fill up one after the other and have room again."""
+    served(fleet)
+    version = 7
+    for index in (0, 1, 2):
+        node = fleet.replicas[index]
+        # No file may grow, as on a full disk; that holds for the node's output, too.
+        resource.prlimit(node.popen.pid, resource.RLIMIT_FSIZE, (1, resource.RLIM_INFINITY))
+        end = time.monotonic() + 10
+        while not node.status()["replica"]["replica_failed"] and time.monotonic() < end:
+            version += 1
+            fleet.install(version)  # the other replicas go on acknowledging
+        assert node.status()["replica"]["replica_failed"], f"the disk of {node.name} is not used"
+        time.sleep(0.5)
+        assert node.alive(), "it waits for room"
+        resource.prlimit(node.popen.pid, resource.RLIMIT_FSIZE,
+                         (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+        wait_for(lambda n=node: not n.alive(), 5, f"{node.name} ends to be started anew")
+        assert node.popen.returncode == 0
+        node.write_settings(first_start=False)
+        node.start()
+        wait_for(lambda: fleet.voters() == 5, 20, "five replicas vote")
+        version += 1
+        fleet.install(version)
+    assert json.loads(fleet.control("GET", "/v1/configuration")[2]) == fleet.configuration(version)
+
+
 def replaced_replica(fleet):
     served(fleet)
     fleet.replicas[4].kill()  # for good
