--- a/testing/endless_test.py
+++ b/testing/endless_test.py
@@ -7,12 +7,11 @@
 """
 
 import socket
-import sys
 import threading
 import time
 
 from fleet import wait_for
-from platform_fleet import DirectFleet
+from platform_fleet import run_case
 from platform_test import events_of, runs_of, served
 
 STARVED_MS = 2500  # a router that reports four times a second and hears this little stands still
@@ -223,20 +222,5 @@
                                           endless_requests)}
 
 
-def main():
-    build, name = sys.argv[1:3]
-    fleet = DirectFleet(build)
-    fleet.more_settings = ["limits:", f"  whole_request_ms: {WHOLE_REQUEST_MS}"]
-    try:
-        fleet.start()
-        CASES[name](fleet)
-    except BaseException:
-        fleet.stop(keep=True)
-        print(f"logs are kept in {fleet.folder}", file=sys.stderr)
-        raise
-    fleet.stop()
-    print(f"{name}: passed")
-
-
 if __name__ == "__main__":
-    main()
+    run_case(CASES, ["limits:", f"  whole_request_ms: {WHOLE_REQUEST_MS}"])
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -348,3 +349,19 @@
             node.kill()
         if not keep:
             shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def run_case(cases, more_settings=()):
+    """Runs the case named on the command line on a fleet of its own; a failed one keeps its logs."""
+    build, name = sys.argv[1:3]
+    fleet = DirectFleet(build)
+    fleet.more_settings = list(more_settings)
+    try:
+        fleet.start()
+        cases[name](fleet)
+    except BaseException:
+        fleet.stop(keep=True)
+        print(f"logs are kept in {fleet.folder}", file=sys.stderr)
+        raise
+    fleet.stop()
+    print(f"{name}: passed")
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -9,12 +9,11 @@
 import resource
 import signal
 import subprocess
-import sys
 import threading
 import time
 
 from fleet import wait_for
-from platform_fleet import DirectFleet, Runner, call
+from platform_fleet import call, run_case
 
 DRAIN_SECONDS = 2.0  # drainMs of the users' sites
 
@@ -564,22 +563,8 @@
 
 CASES = {name: case for name, case in list(globals().items())
          if callable(case) and getattr(case, "__module__", "") == "__main__"
-         and name not in ("served", "runs_of", "events_of", "main")}
-
-
-def main():
-    build, name = sys.argv[1:3]
-    fleet = DirectFleet(build)
-    try:
-        fleet.start()
-        CASES[name](fleet)
-    except BaseException:
-        fleet.stop(keep=True)
-        print(f"logs are kept in {fleet.folder}", file=sys.stderr)
-        raise
-    fleet.stop()
-    print(f"{name}: passed")
+         and name not in ("served", "runs_of", "events_of")}
 
 
 if __name__ == "__main__":
-    main()
+    run_case(CASES)
--- a/testing/reported_test.py
+++ b/testing/reported_test.py
@@ -9,12 +9,11 @@
 import random
 import signal
 import socket
-import sys
 import threading
 import time
 
 from fleet import wait_for
-from platform_fleet import DirectFleet, call
+from platform_fleet import call, run_case
 from platform_test import runs_of, served
 
 SEED = 20261204
@@ -261,19 +260,5 @@
                                           connections_in_series, paused_leader)}
 
 
-def main():
-    build, name = sys.argv[1:3]
-    fleet = DirectFleet(build)
-    try:
-        fleet.start()
-        CASES[name](fleet)
-    except BaseException:
-        fleet.stop(keep=True)
-        print(f"logs are kept in {fleet.folder}", file=sys.stderr)
-        raise
-    fleet.stop()
-    print(f"{name}: passed")
-
-
 if __name__ == "__main__":
-    main()
+    run_case(CASES)
