Connecting to an endpoint may take a multiple of what it usually takes there

The limit is now learnt by data centre from the attempts that succeeded: routing/connectlimit.h, at least 60 ms, doubling while all attempts fail.

--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -287,6 +287,7 @@
     dispatch.copyFrom = placement.copyFrom;
     PoolCall call;
     call.address = standing.address;
+    call.dataCentre = standing.dataCentre;
     call.method = active.request.method;
     call.path = active.request.path;
     call.headers = dialect_.endpointHeaders(active.request, dispatch);
--- a/node/endpointpool.cc
+++ b/node/endpointpool.cc
@@ -25,6 +25,8 @@
 // as long as callers wait for a first sign of life.
 constexpr int kUnackedMillis = 2000;
 constexpr int kContinue = 100;
+// When a new connection is first looked at; within a data centre it stands by then.
+constexpr Duration kFirstConnectLook = std::chrono::milliseconds(5);
 
 void setSocketOptions(evutil_socket_t socket)
 {
@@ -32,6 +34,14 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedMillis, sizeof kUnackedMillis);
 }
 
+bool isEstablished(evutil_socket_t socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    return socket >= 0 && getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+            && info.tcpi_state == TCP_ESTABLISHED;
+}
+
 } // namespace
 
 struct EndpointPool::Connection
@@ -64,7 +74,10 @@
     int interimAnswers = 0;
     bool headSeen = false;
     bool mayKeep = false;
+    std::string dataCentre;
     event *connectTimer = nullptr;
+    Instant connectBegan {};
+    Duration nextConnectLook = kFirstConnectLook; // after the beginning
 
     ~Call()
     {
@@ -258,25 +271,8 @@
     evbuffer_add(evhttp_request_get_output_buffer(raw->request), poolCall.body.data(),
                  poolCall.body.size());
     if (!raw->connection->reused) {
-        raw->connectTimer = event_new(
-                loop_.base(), -1, 0,
-                [](evutil_socket_t, short, void *context) {
-                    auto *waiting = static_cast<Call *>(context);
-                    bufferevent *buffered
-                            = evhttp_connection_get_bufferevent(waiting->connection->http);
-                    const evutil_socket_t socket = bufferevent_getfd(buffered);
-                    tcp_info info {};
-                    socklen_t size = sizeof info;
-                    const bool stands = socket >= 0
-                            && getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
-                            && info.tcpi_state == TCP_ESTABLISHED;
-                    if (stands)
-                        return;
-                    waiting->pool->finish(waiting->id, CallEnd::NotSent, "connect timed out");
-                },
-                raw);
-        const timeval limit = toTimeval(limits_.connect);
-        event_add(raw->connectTimer, &limit);
+        raw->dataCentre = poolCall.dataCentre;
+        startConnectTimer(*raw);
     }
     evhttp_request *request = raw->request;
     if (evhttp_make_request(raw->connection->http, request, methodType(poolCall.method),
@@ -293,6 +289,42 @@
     return id;
 }
 
+void EndpointPool::startConnectTimer(Call &call)
+{
+    call.connectBegan = BootClock::now();
+    call.connectTimer = event_new(
+            loop_.base(), -1, 0,
+            [](evutil_socket_t, short, void *context) {
+                auto *connecting = static_cast<Call *>(context);
+                connecting->pool->onConnectTimer(*connecting);
+            },
+            &call);
+    const timeval first = toTimeval(kFirstConnectLook);
+    event_add(call.connectTimer, &first);
+}
+
+// evhttp does not say when a connection stands, so the socket is looked at after times that
+// double: the time observed is at most twice the real one.
+void EndpointPool::onConnectTimer(Call &call)
+{
+    ConnectLimit &limit = connectLimits_[call.dataCentre];
+    const Duration took = BootClock::now() - call.connectBegan;
+    if (isEstablished(
+                bufferevent_getfd(evhttp_connection_get_bufferevent(call.connection->http)))) {
+        limit.connected(call.nextConnectLook);
+        call.stopConnectTimer();
+        return;
+    }
+    if (took >= limit.limit()) {
+        limit.expired();
+        finish(call.id, CallEnd::NotSent, "connect timed out");
+        return;
+    }
+    call.nextConnectLook *= 2;
+    const timeval pause = toTimeval(std::min(call.nextConnectLook, limit.limit()) - took);
+    event_add(call.connectTimer, &pause);
+}
+
 void EndpointPool::cancel(CallId id)
 {
     const auto found = calls_.find(id);
--- a/node/endpointpool.h
+++ b/node/endpointpool.h
@@ -19,6 +19,7 @@
 
 #include "node/eventloop.h"
 #include "node/httpserver.h"
+#include "routing/connectlimit.h"
 
 namespace bamboogap {
 
@@ -41,8 +42,6 @@
 
 struct PoolLimits
 {
-    // Nothing was sent yet, so the request goes elsewhere; regions are 150 ms apart.
-    Duration connect = std::chrono::milliseconds(400);
     // How long a connection may idle before it is closed here.
     Duration idle = std::chrono::seconds(4);
     // Calls that must not be repeated use a connection only if it idled less: the
@@ -55,6 +54,7 @@
 struct PoolCall
 {
     std::string address;
+    std::string dataCentre; // of the endpoint: how long connecting may take is learnt by it
     std::string method;
     std::string path;
     std::vector<HttpHeader> headers;
@@ -91,6 +91,8 @@
 
     Connection *takeIdle(const std::string &address, bool mayRepeat);
     std::unique_ptr<Connection> connect(const std::string &address);
+    void startConnectTimer(Call &call);
+    void onConnectTimer(Call &call);
     void finish(CallId id, CallEnd end, std::string_view reason);
     void retire(std::unique_ptr<Connection> connection);
     void freeRetired();
@@ -100,6 +102,7 @@
     CallId lastId_ = 0;
     uint64_t connectionsMade_ = 0;
     std::map<CallId, std::unique_ptr<Call>> calls_;
+    std::map<std::string, ConnectLimit, std::less<>> connectLimits_; // by data centre
     std::map<std::string, std::vector<std::unique_ptr<Connection>>, std::less<>> idle_;
     std::vector<std::unique_ptr<Connection>> retired_; // freed outside their callbacks
     event *freeEvent_ = nullptr;
