--- a/fleet/roster.cc
+++ b/fleet/roster.cc
@@ -17,9 +17,9 @@
 // Warm-up ends that differ by less are the same one, heard with other delays.
 constexpr Duration kSameWarmup = std::chrono::milliseconds(500);
 
-uint32_t warmupLeftMillis(Instant coldUntil, Instant now)
+uint32_t millisFrom(Instant begin, Instant end)
 {
-    return static_cast<uint32_t>(std::max<int64_t>(0, toMillis(coldUntil - now)));
+    return static_cast<uint32_t>(std::clamp<int64_t>(toMillis(end - begin), 0, UINT32_MAX));
 }
 
 bool sameContent(const EndpointRecord &a, const EndpointRecord &b)
@@ -57,6 +57,8 @@
         return;
     Entry &entry = known ? found->second : entries_[record.id];
     entry.leaving = entry.leaving && record.bornMillis == entry.record.bornMillis;
+    if (!known || record.bornMillis != entry.record.bornMillis)
+        entry.knownSince = now;
     if (entry.leaving && record.state == EndpointState::Ready)
         record.state = EndpointState::Draining;
     const Instant coldUntil = now + std::chrono::milliseconds(record.warmupLeftMillis);
@@ -79,6 +81,7 @@
     Entry &entry = entries_[record.id];
     entry.coldUntil = now + std::chrono::milliseconds(record.warmupLeftMillis);
     entry.heardAt = now - std::max(Duration {}, silence_ - kRecalled);
+    entry.knownSince = now - std::chrono::milliseconds(record.knownForMillis);
     entry.changedAt = ++version_;
     entry.record = std::move(record);
 }
@@ -89,12 +92,19 @@
     for (const auto &[id, entry] : entries_) {
         if (!entry.record.heard)
             continue;
-        records.push_back(entry.record);
-        records.back().warmupLeftMillis = warmupLeftMillis(entry.coldUntil, now);
+        records.push_back(toTell(entry, now));
     }
     return records;
 }
 
+EndpointRecord HeardRoster::toTell(const Entry &entry, Instant now) const
+{
+    EndpointRecord record = entry.record;
+    record.warmupLeftMillis = millisFrom(now, entry.coldUntil);
+    record.knownForMillis = millisFrom(entry.knownSince, now);
+    return record;
+}
+
 void HeardRoster::leave(std::string_view id, int64_t wallMillis, Instant now)
 {
     const auto found = entries_.find(id);
@@ -159,10 +169,8 @@
         changed.resize(most);
         changes.version = changed.back()->changedAt;
     }
-    for (const Entry *entry : changed) {
-        changes.records.push_back(entry->record);
-        changes.records.back().warmupLeftMillis = warmupLeftMillis(entry->coldUntil, now);
-    }
+    for (const Entry *entry : changed)
+        changes.records.push_back(toTell(*entry, now));
     return changes;
 }
 
@@ -179,6 +187,11 @@
             endpoint.key = endpointKey(record.id);
             endpoint.firstSeen = now;
         }
+        const Instant knownSince = now - std::chrono::milliseconds(record.knownForMillis);
+        if (added || record.bornMillis > endpoint.record.bornMillis)
+            endpoint.knownSince = knownSince;
+        else if (record.bornMillis == endpoint.record.bornMillis)
+            endpoint.knownSince = std::min(endpoint.knownSince, knownSince);
         const bool departsBeforeBirthIsKnown = !added && record.state == EndpointState::Gone
                 && record.bornMillis > endpoint.record.bornMillis;
         if (departsBeforeBirthIsKnown) {
@@ -265,7 +278,8 @@
         if (isSilent(endpoint, now))
             continue;
         records.push_back(endpoint.record);
-        records.back().warmupLeftMillis = warmupLeftMillis(endpoint.coldUntil, now);
+        records.back().warmupLeftMillis = millisFrom(now, endpoint.coldUntil);
+        records.back().knownForMillis = millisFrom(endpoint.knownSince, now);
     }
     return records;
 }
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -42,6 +42,7 @@
     std::string dataCentre;
     uint32_t slots = 1; // requests run at once
     uint32_t warmupLeftMillis = 0; // how long it stays cold
+    uint32_t knownForMillis = 0; // how long replicas have known this incarnation
     EndpointState state = EndpointState::Ready;
     bool heard = true; // false: silent for longer than allowed
     std::vector<ModelOffer> models;
@@ -96,10 +97,14 @@
     size_t size() const { return entries_.size(); }
 
 private:
+    struct Entry;
+    EndpointRecord toTell(const Entry &entry, Instant now) const;
+
     struct Entry
     {
         EndpointRecord record;
         Instant heardAt {};
+        Instant knownSince {}; // this incarnation
         Instant coldUntil {};
         uint64_t changedAt = 0; // roster version
         bool leaving = false; // this incarnation said so in an answer
@@ -121,6 +126,7 @@
         EndpointKey key = 0;
         Instant coldUntil {};
         Instant firstSeen {};
+        Instant knownSince {}; // this incarnation, by the replica that knows it longest
         Instant lastProof {}; // last sign of life: a replica's word or an answer
         bool leaving = false; // this incarnation said so to this router
         std::map<std::string, bool, std::less<>> heardBy; // by replica
--- a/node/rosterwire.cc
+++ b/node/rosterwire.cc
@@ -39,6 +39,7 @@
     builder.setWarmupLeftMillis(record.warmupLeftMillis);
     builder.setState(static_cast<uint8_t>(record.state));
     builder.setHeard(record.heard);
+    builder.setKnownForMillis(record.knownForMillis);
     auto models = builder.initModels(record.models.size());
     for (size_t i = 0; i < record.models.size(); ++i) {
         models[i].setName(record.models[i].name);
@@ -60,6 +61,7 @@
     record.state = static_cast<EndpointState>(
             std::min<uint8_t>(reader.getState(), static_cast<uint8_t>(EndpointState::Gone)));
     record.heard = reader.getHeard();
+    record.knownForMillis = reader.getKnownForMillis();
     for (const auto model : reader.getModels())
         record.models.push_back({ std::string(toView(model.getName())), model.getVersion() });
     return record;
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -201,6 +201,7 @@
   state @8 :UInt8;
   heard @9 :Bool;  # false: silent for longer than an endpoint may be
   models @10 :List(ModelOffer);
+  knownForMillis @11 :UInt32;
 }
 
 struct EndpointRecords {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -3365,6 +3365,8 @@
   inline bool hasModels() const;
   inline  ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>::Reader getModels() const;
 
+  inline  ::uint32_t getKnownForMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3446,6 +3448,9 @@
   inline void adoptModels(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::ModelOffer,  ::capnp::Kind::STRUCT>> disownModels();
 
+  inline  ::uint32_t getKnownForMillis();
+  inline void setKnownForMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10953,6 +10958,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t EndpointRecord::Reader::getKnownForMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointRecord::Builder::getKnownForMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void EndpointRecord::Builder::setKnownForMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndpointRecords::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -27,7 +27,7 @@
 // A cold endpoint costs this much more, in milliseconds, so that prompts do not come
 // and go with the pace that it bears.
 constexpr double kColdMillis = 150;
-// An endpoint that is newer than this to the router holds no prompt that was placed
+// An endpoint that is newer than this to the fleet holds no prompt that was placed
 // before it came: every router has seen most prompts in use by then and knows where
 // they are.
 constexpr Duration kSettled = std::chrono::seconds(20);
@@ -86,8 +86,7 @@
         standing.dataCentre = record.dataCentre;
         standing.service = record.service;
         standing.bornMillis = record.bornMillis;
-        if (reborn)
-            standing.firstSeen = now;
+        standing.knownSince = endpoint.knownSince;
         standing.slots = std::max(1U, record.slots);
         standing.models = record.models;
         standing.coldUntil = std::max(standing.coldUntil, endpoint.coldUntil);
@@ -223,7 +222,7 @@
         if (&standing == &except || standing.service != request.service || !standing.there
             || standing.health.isEjected(now))
             continue;
-        const bool settled = now - standing.firstSeen > kSettled;
+        const bool settled = now - standing.knownSince > kSettled;
         const std::pair score { settled, combineHashes(request.affinity, key) };
         if (!best || score > highest) {
             best = &standing;
@@ -264,7 +263,7 @@
             continue;
         }
         gathered.candidates.push_back({ key, &standing, request.promptTokens, 0, cold,
-                                        now - standing.firstSeen > kSettled });
+                                        now - standing.knownSince > kSettled });
     }
     if (gathered.candidates.empty() && !gathered.sawCold)
         gathered.candidates = std::move(ejected);
--- a/routing/endpointboard.h
+++ b/routing/endpointboard.h
@@ -100,7 +100,7 @@
         bool there = false; // alive, but perhaps draining
         bool out = false; // its data centre is out of service
         Instant coldUntil {};
-        Instant firstSeen {};
+        Instant knownSince {}; // to any replica
         uint32_t running = 0;
         uint32_t unreadTokens = 0;
         uint32_t othersRunning = 0;
