Recalled endpoints run out by the clock; calls of replicas are checked

A replica that is paused right after its start offered what it had recalled once more when it went on, if a router asked before the next tick: whether an endpoint is silent was decided by the tick alone. Red first: fleet_test, "what is recalled runs out by the clock". Also: a router ignores a call whose address is none, remembers at most 32 callers, and a replica logs which routers it gave up calling.

--- a/fleet/roster.cc
+++ b/fleet/roster.cc
@@ -90,18 +90,26 @@
 {
     std::vector<EndpointRecord> records;
     for (const auto &[id, entry] : entries_) {
-        if (!entry.record.heard)
+        if (!isHeard(entry, now))
             continue;
         records.push_back(toTell(entry, now));
     }
     return records;
 }
 
+// Not only as of the last tick: the process may have been paused since.
+bool HeardRoster::isHeard(const Entry &entry, Instant now) const
+{
+    const bool silent = entry.record.state != EndpointState::Gone && now - entry.heardAt > silence_;
+    return entry.record.heard && !silent;
+}
+
 EndpointRecord HeardRoster::toTell(const Entry &entry, Instant now) const
 {
     EndpointRecord record = entry.record;
     record.warmupLeftMillis = millisFrom(now, entry.coldUntil);
     record.knownForMillis = millisFrom(entry.knownSince, now);
+    record.heard = isHeard(entry, now);
     return record;
 }
 
@@ -141,8 +149,7 @@
             item = entries_.erase(item);
             continue;
         }
-        if (entry.record.heard && entry.record.state != EndpointState::Gone
-            && now - entry.heardAt > silence_) {
+        if (entry.record.heard && !isHeard(entry, now)) {
             entry.record.heard = false;
             entry.changedAt = ++version_;
         }
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -98,6 +98,7 @@
 
 private:
     struct Entry;
+    bool isHeard(const Entry &entry, Instant now) const;
     EndpointRecord toTell(const Entry &entry, Instant now) const;
 
     struct Entry
--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -89,6 +89,18 @@
     CHECK_FALSE(after.usable("gone-meanwhile", end));
 }
 
+// Load pattern: a replica is paused right after its start; what it recalled has run out when it
+// goes on, and a router asks before the next tick.
+TEST_CASE("what is recalled runs out by the clock, not by the next tick")
+{
+    Fixture fixture;
+    fixture.heard.recall(record("e1", 9), kStart);
+    const Instant resumed = kStart + HeardRoster::kRecalled + milliseconds(1);
+    fixture.pass(resumed);
+    CHECK_FALSE(fixture.merged.records(resumed + seconds(6)).size() > 0);
+    CHECK(fixture.heard.records(resumed).empty());
+}
+
 TEST_CASE("an endpoint that a replica vouches for is kept, however long it is not used")
 {
     Fixture fixture;
--- a/node/startcalls.cc
+++ b/node/startcalls.cc
@@ -43,8 +43,15 @@
 // Calls the routers with the shortest limits first: they were tried least often.
 void StartCalls::next()
 {
-    if (BootClock::now() >= until_)
+    if (BootClock::now() >= until_) {
+        if (!left_.empty() && inFlight_ == 0) {
+            logEvent(LogLevel::Info, "routers_not_called",
+                     { { "left", fmt::to_string(left_.size()) },
+                       { "reason", "no answer; they look for replicas themselves" } });
+            left_.clear();
+        }
         return;
+    }
     while (inFlight_ < kCallsAtOnce) {
         auto chosen = left_.end();
         for (auto item = left_.begin(); item != left_.end(); ++item) {
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -44,6 +44,8 @@
 // serves as soon as a leader is there.
 constexpr Duration kIntervalWithoutRoutes = std::chrono::milliseconds(50);
 constexpr size_t kMaxPlacementsSent = 256;
+// Replicas that call a router before it knows the control group; a group has fewer members.
+constexpr size_t kMostCallers = 32;
 
 } // namespace
 
@@ -216,7 +218,13 @@
 // The attempt that hangs was made while the replica did not run.
 void SyncTask::onReplicaStarted(const std::string &address)
 {
-    callers_.insert(address);
+    if (!parseSocketAddress(address)) {
+        logEvent(LogLevel::Warning, "replica_call_ignored",
+                 { { "replica", address }, { "problem", "not an address" } });
+        return;
+    }
+    if (members_.empty() && callers_.size() < kMostCallers)
+        callers_.insert(address);
     followReplicas();
     const auto found = links_.find(address);
     if (found == links_.end())
