--- a/node/fleetmemo.cc
+++ b/node/fleetmemo.cc
@@ -86,7 +86,7 @@
 Result<void> MemoFile::store(const FleetMemo &memo)
 {
     const Instant began = BootClock::now();
-    const auto stored = [&]() -> Result<void> {
+    auto stored = [&]() -> Result<void> {
         const auto names = disk_.list();
         if (!names)
             return tl::unexpected(names.error());
--- a/routing/endpointboard.cc
+++ b/routing/endpointboard.cc
@@ -39,8 +39,6 @@
 // A request to another data centre costs this much more, in milliseconds: two
 // crossings, and the price of bytes between data centres.
 constexpr double kOtherDataCentreMillis = 2.5;
-// A failure costs a caller about this much, in milliseconds: a second attempt, or the answer.
-constexpr double kFailureMillis = 300;
 // Usual time of a plain request before any was observed, in milliseconds.
 constexpr double kAssumedPlainMillis = 40;
 // A full batch makes a request wait for a place: cost for each waiting one.
@@ -130,14 +128,12 @@
     return found == services_.end() ? 0 : found->second.warmupPerSecond;
 }
 
-void EndpointBoard::price(Candidate &candidate, const PlacementRequest &request, size_t rank,
-                          Instant now) const
+void EndpointBoard::price(Candidate &candidate, const PlacementRequest &request, size_t rank) const
 {
     const Standing &standing = *candidate.standing;
     const bool elsewhere = standing.dataCentre != request.dataCentre;
     if (candidate.cold)
         candidate.cost += kColdMillis;
-    candidate.cost += standing.health.excessFailureShare(now) * kFailureMillis;
     const double waiting = std::max(0.0, double(standing.load()) - standing.slots);
     candidate.cost += waiting * kMillisPerWaiting + (elsewhere ? kOtherDataCentreMillis : 0);
     if (request.model.empty()) {
@@ -335,7 +331,7 @@
         believeCached(request, candidates);
     }
     for (size_t rank = 0; rank < candidates.size(); ++rank)
-        price(candidates[rank], request, rank, now);
+        price(candidates[rank], request, rank);
     const Candidate &best = engine ? chooseEngine(gathered) : choosePlain(gathered, chance);
     Standing &chosen = *best.standing;
     if (best.cold)
--- a/routing/endpointboard.h
+++ b/routing/endpointboard.h
@@ -188,8 +188,7 @@
                            std::span<const Candidate> candidates, Instant now) const;
     const Standing *likelyHolder(const PlacementRequest &request, const Standing &except,
                                  Instant now) const;
-    void price(Candidate &candidate, const PlacementRequest &request, size_t rank,
-               Instant now) const;
+    void price(Candidate &candidate, const PlacementRequest &request, size_t rank) const;
 
     BoardSettings settings_;
     FleetSize fleet_;
--- a/routing/endpointhealth.cc
+++ b/routing/endpointhealth.cc
@@ -59,15 +59,6 @@
     return samples < 1 ? 0 : current.failed_ / samples;
 }
 
-double EndpointHealth::excessFailureShare(Instant now) const
-{
-    EndpointHealth current = *this;
-    current.decay(now);
-    const double expected = (current.failed_ + kAssumedOutcomes * kLeastUsualShare)
-            / (current.succeeded_ + current.failed_ + kAssumedOutcomes);
-    return std::max(0.0, expected - kLeastUsualShare);
-}
-
 void EndpointHealth::decay(Instant now)
 {
     if (now <= decayedAt_)
--- a/routing/endpointhealth.h
+++ b/routing/endpointhealth.h
@@ -33,8 +33,6 @@
     // requests, that eject an endpoint.
     static constexpr double kOutlierDeviations = 3;
     static constexpr double kSpareFailures = 1.5;
-    // Outcomes at the least usual share that are assumed beside those seen.
-    static constexpr double kAssumedOutcomes = 2;
     // Peers without any failure count as failing this share.
     static constexpr double kLeastUsualShare = 0.03;
     static constexpr Duration kFirstEjection = std::chrono::milliseconds(800);
@@ -51,9 +49,6 @@
     // True until a request has succeeded after an ejection.
     bool onProbation(Instant now) const { return probation_ && !isEjected(now); }
     double failureShare(Instant now) const;
-    // By how much the share of failures to expect next is above the least usual one; few
-    // outcomes say little.
-    double excessFailureShare(Instant now) const;
 
 private:
     bool isOutlier(double peerFailureShare) const;
--- a/routing/testing/site.h
+++ b/routing/testing/site.h
@@ -65,18 +65,6 @@
         record.models = { { "m", 1 } };
         heard.heartbeat(record, now);
     }
-    // An endpoint "p<i>" of the plain service.
-    void announcePlain(int i, Instant now)
-    {
-        EndpointRecord record;
-        record.id = "p" + std::to_string(i);
-        record.sequence = ++sequence;
-        record.service = "plain";
-        record.address = "10.0.1." + std::to_string(i + 1) + ":80";
-        record.dataCentre = "dc1";
-        record.slots = 6;
-        heard.heartbeat(record, now);
-    }
     void refresh(Instant now)
     {
         const auto changes = heard.changesSince(1, version, now);
