Log each decision on a retry, with the figures that decided it

Change: an event `retry` (outcome, used, allowed, routers, up_ms) and bamboogap_retries_refused_total; RetryWindow::take() returns the figures. No decision changes.

--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -257,6 +257,23 @@
     }
 }
 
+bool DirectRouter::takeRetry(const Active &active, Instant now)
+{
+    const uint32_t routers = sync_->fleet().routers;
+    const RetryDecision decision = retries_.at(active.service).take(routers, now);
+    if (!decision.granted)
+        metrics_.count("bamboogap_retries_refused_total");
+    logEvent(LogLevel::Info, "retry",
+             { { "request", active.caller.id },
+               { "service", active.service },
+               { "outcome", decision.granted ? "granted" : "refused" },
+               { "used", fmt::to_string(decision.used) },
+               { "allowed", fmt::format("{:.1f}", decision.allowed) },
+               { "routers", fmt::to_string(routers) },
+               { "up_ms", fmt::to_string(toMillis(now - startedAt_)) } });
+    return decision.granted;
+}
+
 // After an attempt that brought no answer to hand on.
 void DirectRouter::tryAgain(Active &active, Outcome outcome, std::string_view reason)
 {
@@ -265,8 +282,8 @@
     const bool allowed = notRun ? active.sends < kMostSends
                                 : mayRunAgain(active) && active.runs < active.route->maxAttempts;
     const bool inTime = active.deadline - now >= kLeastRemaining;
-    const bool spare = outcome == Outcome::Unreachable
-            || (allowed && inTime && retries_.at(active.service).take(sync_->fleet().routers, now));
+    const bool spare
+            = outcome == Outcome::Unreachable || (allowed && inTime && takeRetry(active, now));
     if (allowed && inTime && spare) {
         active.events.dropPartial();
         metrics_.count("bamboogap_retries_total");
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -87,6 +87,7 @@
     void relay(Active &active, std::string_view events);
     void finishWhole(Active &active);
     void tryAgain(Active &active, Outcome outcome, std::string_view reason);
+    bool takeRetry(const Active &active, Instant now);
     void settle(Active &active, Outcome outcome, std::string_view reason);
     void answerEndpoint(Active &active);
     void refuse(Active &active, Refusal refusal, std::string_view reason);
--- a/routing/retrywindow.cc
+++ b/routing/retrywindow.cc
@@ -21,11 +21,11 @@
     ++slotAt(now).requests;
 }
 
-bool RetryWindow::take(uint32_t routers, Instant now)
+RetryDecision RetryWindow::take(uint32_t routers, Instant now)
 {
     const int64_t oldest = slotNumber(now) - static_cast<int64_t>(kSlots);
     double requests = 0;
-    double retries = 0;
+    uint32_t retries = 0;
     for (const Slot &slot : slots_) {
         if (slot.number < oldest)
             continue;
@@ -35,9 +35,9 @@
     const double allowed = kUsedShare
             * (settings_.ratio * requests + settings_.slack / (routers > 0 ? routers : 1));
     if (retries + 1 > allowed)
-        return false;
+        return { false, retries, allowed };
     ++slotAt(now).retries;
-    return true;
+    return { true, retries, allowed };
 }
 
 } // namespace bamboogap
--- a/routing/retrywindow.h
+++ b/routing/retrywindow.h
@@ -21,6 +21,14 @@
     Duration window = std::chrono::seconds(10);
 };
 
+// Whether a retry may be sent, and the figures that decided it.
+struct RetryDecision
+{
+    bool granted = false;
+    uint32_t used = 0; // retries of the window before this one
+    double allowed = 0; // of this router in the window
+};
+
 class RetryWindow
 {
 public:
@@ -34,8 +42,8 @@
     }
 
     void onRequest(Instant now);
-    // Takes one retry; false if this router's share is used up.
-    bool take(uint32_t routers, Instant now);
+    // Takes one retry, unless this router's share is used up.
+    RetryDecision take(uint32_t routers, Instant now);
 
 private:
     static constexpr size_t kSlots = 20;
--- a/routing/testing/direct_test.cc
+++ b/routing/testing/direct_test.cc
@@ -411,7 +411,7 @@
         for (int i = 0; i < (burst ? 3 : 1); ++i) {
             router.onRequest(now);
             requests.push_back(now);
-            while (router.take(kRouters, now))
+            while (router.take(kRouters, now).granted)
                 retries.push_back(now);
         }
     }
