Keep the fleet's limit on retries while routers restart

Cause: two places that divide a fleet-wide limit forgot what had been used. (1) RetryWindow lives in memory; a process that restarted began with its whole share, although the one before may have used it a moment ago. (2) The slack was divided by the routers that a replica heard from lately: a router that leaves, a replica that has just started, or a partition make that number small, while the others' shares are still in use; before the first reply it was 1. Class: a limit that is divided among processes is only kept if no process can take more than its part over any series of restarts, and if no two believe in divisors that add up to more than the whole. Change: in the first window of a process a separate, smaller share applies, earned by its own requests only (0.25 of the ratio, 0.65 later, 0.1 left for what is on its way); replicas count all routers of the last two minutes, those that left and those of the memo included, and say nothing while they are young; routers believe replicas in touch with the leader only, the largest number of the last minute (fleet/sharercount), and use no slack without one. Weighed: a token bucket that starts empty keeps the bound too, but holds only a few retries for a burst; use reported to replicas and taken over by the next process misses the last interval; reservations cost a round trip for each retry.

--- a/fleet/routertable.cc
+++ b/fleet/routertable.cc
@@ -11,8 +11,6 @@
 
 constexpr size_t kBytesPerUse = 8;
 constexpr uint32_t kTokensUnit = 64;
-// Longer than any disconnection or restart after which a router returns under the same name.
-constexpr Duration kRetention = std::chrono::minutes(2);
 
 // Little-endian on every platform.
 void append(std::string &bytes, uint32_t value, size_t size)
@@ -99,20 +97,30 @@
         report.peerAddress = std::move(entry.report.peerAddress);
     entry.report = std::move(report);
     entry.lastSeen = now;
+    left_.erase(entry.report.name);
     return true;
 }
 
-void RouterTable::leave(std::string_view name)
+void RouterTable::leave(std::string_view name, Instant now)
 {
     const auto found = routers_.find(name);
-    if (found != routers_.end())
-        routers_.erase(found);
+    if (found == routers_.end())
+        return;
+    routers_.erase(found);
+    left_[std::string(name)] = now;
+}
+
+void RouterTable::recall(uint32_t routers, Instant now)
+{
+    recalled_ = routers;
+    startedAt_ = now;
 }
 
 void RouterTable::removeExpired(Instant now)
 {
     std::erase_if(routers_,
                   [now](const auto &item) { return now - item.second.lastSeen > kRetention; });
+    std::erase_if(left_, [now](const auto &item) { return now - item.second > kRetention; });
 }
 
 Duration RouterTable::aliveTimeout() const
@@ -129,6 +137,15 @@
     return count;
 }
 
+uint32_t RouterTable::sharerCount(Instant now) const
+{
+    const Duration up = now - startedAt_;
+    if (up < aliveTimeout())
+        return 0;
+    const auto known = static_cast<uint32_t>(routers_.size() + left_.size());
+    return up <= kRetention ? std::max(known, recalled_) : known;
+}
+
 std::vector<std::string> RouterTable::aliveAddresses(Instant now) const
 {
     std::vector<std::string> addresses;
--- a/fleet/routertable.h
+++ b/fleet/routertable.h
@@ -65,6 +65,10 @@
     // which each router lengthens the report interval of all routers.
     static constexpr Duration kAliveTimeoutPerRouter = std::chrono::milliseconds(20);
 
+    // How long a router is known after its last report. Longer than any disconnection or restart
+    // after which it returns under the same name, and than SharerCount::kValidity.
+    static constexpr Duration kRetention = std::chrono::minutes(2);
+
     // Bandwidth for messages with the other routers' load to one router, out of the 4 KB/s that a
     // node may use for control traffic.
     static constexpr double kUsesBytesPerSecond = 3000;
@@ -72,7 +76,9 @@
     // Records a report. Returns false if a later process of the router has reported already.
     bool report(RouterReport report, Instant now);
     // Removes a router that has shut down.
-    void leave(std::string_view name);
+    void leave(std::string_view name, Instant now);
+    // Sets when this process of the replica started, and how many routers the one before knew.
+    void recall(uint32_t routers, Instant now);
 
     // Removes routers that have not reported for longer than any temporary disconnection lasts.
     void removeExpired(Instant now);
@@ -80,6 +86,10 @@
     Duration aliveTimeout() const;
     // Number of routers that are alive.
     uint32_t aliveCount(Instant now) const;
+    // Number of routers among which a fleet-wide limit is divided: all that have reported within
+    // kRetention, since one that has left or is cut off from this replica may have used its share
+    // a moment ago or may go on using it. 0 while this process is too young to have heard from all.
+    uint32_t sharerCount(Instant now) const;
     // Peer addresses of the routers that are alive.
     std::vector<std::string> aliveAddresses(Instant now) const;
     // Returns whether a message of `bytes` bytes with the other routers' load may be sent to the
@@ -99,6 +109,9 @@
 
 private:
     std::map<std::string, Entry, std::less<>> routers_;
+    std::map<std::string, Instant, std::less<>> left_; // when routers shut down
+    uint32_t recalled_ = 0;
+    Instant startedAt_ {};
 };
 
 } // namespace bamboogap
--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -5,6 +5,7 @@
 #include "fleet/placementlog.h"
 #include "fleet/roster.h"
 #include "fleet/routertable.h"
+#include "fleet/sharercount.h"
 
 namespace bamboogap {
 namespace {
@@ -256,12 +257,54 @@
     CHECK(routers.aliveCount(kStart) == 3);
     CHECK(routers.rankOf("c", kStart) == 2);
     CHECK_FALSE(routers.report({ "a", 0, "dc1", 1 }, kStart)); // an earlier process
-    routers.leave("b");
+    routers.leave("b", kStart);
     CHECK(routers.aliveCount(kStart) == 2);
     const Instant later = kStart + RouterTable::kAliveTimeout + milliseconds(1);
     CHECK(routers.aliveCount(later) == 0);
 }
 
+TEST_CASE("routers that left or are cut off still count as sharers of a limit")
+{
+    RouterTable routers;
+    routers.recall(2, kStart);
+    const auto report = [&](Instant now) {
+        for (const char *name : { "a", "b", "c" })
+            routers.report({ name, 1, "dc1", 1 }, now);
+    };
+    report(kStart);
+    CHECK(routers.sharerCount(kStart) == 0); // not all may have reported yet
+    const Instant later = kStart + RouterTable::kAliveTimeout;
+    CHECK(routers.sharerCount(later) == 3);
+    report(later);
+    routers.leave("b", later);
+    CHECK(routers.aliveCount(later) == 2);
+    CHECK(routers.sharerCount(later + RouterTable::kAliveTimeout) == 3);
+    routers.removeExpired(later + RouterTable::kRetention + milliseconds(1));
+    CHECK(routers.sharerCount(later + RouterTable::kRetention + milliseconds(1)) == 0);
+}
+
+TEST_CASE("a restarted replica counts the routers that it recalls as sharers")
+{
+    RouterTable routers;
+    routers.recall(6, kStart);
+    routers.report({ "a", 1, "dc1", 1 }, kStart);
+    const Instant later = kStart + RouterTable::kAliveTimeout;
+    CHECK(routers.sharerCount(later) == 6);
+    CHECK(routers.sharerCount(kStart + RouterTable::kRetention + milliseconds(1)) == 1);
+}
+
+TEST_CASE("the largest number of sharers that was told of late counts")
+{
+    SharerCount sharers;
+    CHECK(sharers.count(kStart) == 0);
+    sharers.onReply(6, kStart);
+    sharers.onReply(0, kStart + seconds(1));
+    sharers.onReply(2, kStart + seconds(50));
+    CHECK(sharers.count(kStart + seconds(50)) == 6);
+    CHECK(sharers.count(kStart + seconds(61)) == 2);
+    CHECK(sharers.count(kStart + seconds(111)) == 0);
+}
+
 TEST_CASE("routers of a large fleet stay alive over their longer report intervals")
 {
     RouterTable routers;
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -259,7 +259,7 @@
 
 bool DirectRouter::takeRetry(const Active &active, Instant now)
 {
-    const uint32_t routers = sync_->fleet().routers;
+    const uint32_t routers = sync_->sharers(now);
     const RetryDecision decision = retries_.at(active.service).take(routers, now);
     if (!decision.granted)
         metrics_.count("bamboogap_retries_refused_total");
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -222,13 +222,14 @@
 
 void ReplicaFront::recallFleet()
 {
+    const Instant now = BootClock::now();
     auto memo = memoFile_.load();
+    routers_.recall(memo ? static_cast<uint32_t>(memo->routers.size()) : 0, now);
     if (!memo) {
         logEvent(LogLevel::Warning, "fleet_not_recalled",
                  { { "problem", memo.error().message }, { "remedy", memo.error().remedy } });
         return;
     }
-    const Instant now = BootClock::now();
     for (EndpointRecord &record : memo->endpoints)
         roster_.restore(std::move(record), now);
     logEvent(LogLevel::Info, "fleet_recalled",
@@ -331,7 +332,7 @@
     if (request.getLeaving()) {
         if (const auto found = routers_.routers().find(name); found != routers_.routers().end())
             spread_.removePeer(found->second.report.peerAddress);
-        routers_.leave(name);
+        routers_.leave(name, now);
         work_.remove(name);
     } else {
         RouterReport report { name, request.getIncarnation(),
@@ -385,6 +386,8 @@
     }
     reply.setRouters(routers_.aliveCount(now));
     reply.setRank(routers_.rankOf(name, now));
+    reply.setSharers(
+            static_cast<uint16_t>(std::min<uint32_t>(routers_.sharerCount(now), UINT16_MAX)));
     std::vector<std::string> members;
     for (const Replica &member : control_.membership().members)
         members.push_back(member.address);
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -280,6 +280,7 @@
         confirmed_ = true;
         confirmedAt_ = now;
         confirmedVersion_ = std::max(confirmedVersion_, reply.getRoutesVersion());
+        sharers_.onReply(reply.getSharers(), now);
     }
     RosterChanges changes;
     changes.epoch = reply.getRosterEpoch();
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -22,6 +22,7 @@
 #include "fleet/reportlog.h"
 #include "fleet/roster.h"
 #include "fleet/routertable.h"
+#include "fleet/sharercount.h"
 #include "fleet/worksums.h"
 #include "node/eventloop.h"
 #include "node/peers.h"
@@ -87,6 +88,8 @@
     MergedRoster &roster() { return roster_; }
     const std::vector<EndpointUse> &others() const { return others_; }
     FleetPosition fleet() const { return fleet_; }
+    // Number of routers that divide the fleet's limits; 0 if unknown.
+    uint32_t sharers(Instant now) const { return sharers_.count(now); }
     SuspicionStatus standingOf(Fingerprint fingerprint) const;
 
     // True once the router may serve: a replica in touch with a leader has answered
@@ -161,6 +164,7 @@
     MergedRoster roster_;
     std::vector<EndpointUse> others_;
     FleetPosition fleet_;
+    SharerCount sharers_;
     std::map<Fingerprint, SuspicionStatus> suspects_;
     ReportLog<Crash> crashes_;
     ReportLog<LeavingEndpoint> leavingEndpoints_;
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -281,6 +281,7 @@
   placements @15 :List(PromptPlacement);  # by other routers
   placementsVersion @16 :UInt64;
   hasUses @17 :Bool;  # else the last ones hold on
+  sharers @18 :UInt16;  # routers that divide the fleet's limits; 0 if unknown
 }
 
 interface AnswerSink {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -4325,6 +4325,8 @@
 
   inline bool getHasUses() const;
 
+  inline  ::uint16_t getSharers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4433,6 +4435,9 @@
   inline bool getHasUses();
   inline void setHasUses(bool value);
 
+  inline  ::uint16_t getSharers();
+  inline void setSharers( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12105,6 +12110,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t SyncReply::Reader::getSharers() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t SyncReply::Builder::getSharers() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setSharers( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/routing/retrywindow.cc
+++ b/routing/retrywindow.cc
@@ -23,17 +23,20 @@
 
 RetryDecision RetryWindow::take(uint32_t routers, Instant now)
 {
+    // The slots cover a little more than a window, those of the requests a little less.
     const int64_t oldest = slotNumber(now) - static_cast<int64_t>(kSlots);
     double requests = 0;
     uint32_t retries = 0;
     for (const Slot &slot : slots_) {
-        if (slot.number < oldest)
-            continue;
-        requests += slot.requests;
-        retries += slot.retries;
+        if (slot.number >= oldest)
+            retries += slot.retries;
+        if (slot.number > oldest)
+            requests += slot.requests;
     }
-    const double allowed = kUsedShare
-            * (settings_.ratio * requests + settings_.slack / (routers > 0 ? routers : 1));
+    const double slack = routers == 0 ? 0 : settings_.slack / routers;
+    const double allowed = now < firstWindowEnd_
+            ? kFirstWindowShare * settings_.ratio * requests
+            : kUsedShare * (settings_.ratio * requests + slack);
     if (retries + 1 > allowed)
         return { false, retries, allowed };
     ++slotAt(now).retries;
--- a/routing/retrywindow.h
+++ b/routing/retrywindow.h
@@ -1,8 +1,13 @@
 // A fleet-wide limit on retries, of which each router enforces its share.
 //
 // Within any window a service may get at most `ratio` times the number of its requests, plus
-// `slack`, as retries. A router that applies the ratio to its own requests and uses an equal
-// part of the slack needs no information from the others.
+// `slack`, as retries. A router applies the ratio to its own requests and uses an equal part of
+// the slack, so that it needs no information from the others but their number.
+//
+// The count is lost with the process. What an earlier process of the router has sent in the
+// current window is unknown then, so that a new one uses a separate, smaller share for the
+// length of a window. That share is earned by the process's own requests alone: any number of
+// restarts within a window does not raise the sum.
 
 #ifndef BAMBOOGAP_ROUTING_RETRYWINDOW_H
 #define BAMBOOGAP_ROUTING_RETRYWINDOW_H
@@ -32,17 +37,20 @@
 class RetryWindow
 {
 public:
-    // Share of both terms that is used. The rest covers windows that are not aligned with
-    // the time slots counted here, and the delay until routers notice each other.
-    static constexpr double kUsedShare = 0.8;
+    // Shares of the limit that a router uses in its first window and later. The rest covers the
+    // time that retries and requests are on their way.
+    static constexpr double kFirstWindowShare = 0.25;
+    static constexpr double kUsedShare = 0.65;
 
-    explicit RetryWindow(RetryWindowSettings settings = {})
+    explicit RetryWindow(RetryWindowSettings settings = {}, Instant processStart = {})
         : settings_(settings)
+        , firstWindowEnd_(processStart + settings.window)
     {
     }
 
     void onRequest(Instant now);
-    // Takes one retry, unless this router's share is used up.
+    // Takes one retry, unless this router's share is used up. `routers` is the number of routers
+    // that share the slack; without it, 0, this router uses none of the slack.
     RetryDecision take(uint32_t routers, Instant now);
 
 private:
@@ -58,6 +66,7 @@
     Slot &slotAt(Instant now);
 
     RetryWindowSettings settings_;
+    Instant firstWindowEnd_ {};
     std::array<Slot, kSlots + 1> slots_ {};
 };
 
