Quarantined requests stay quarantined while replicas and routers restart

Cause: a replica kept its suspects in memory only, and a router replaced its whole list by that of the replica that answered last, so that one fresh replica cleared the quarantine; versions of the lists began at 1 in each process, so that two processes' lists could pass for the same. No report of users names it. Change: the leader commits the crashes of quarantined requests with the existing command of the log, so that the quarantine outlives all processes; a router keeps one list for each replica (control/suspectlists) and takes the highest status; the list's version begins at a random number. A quarantine that is lifted in the log is lifted at all replicas. Evidence: platform.quarantine_outlives_restarts, red on ("reaches endpoints after the restart of replica-0"), green now; pure tests of the lists.

--- a/node/controltask.h
+++ b/node/controltask.h
@@ -93,6 +93,8 @@
     };
     LogPosition logPosition() const;
     const Membership &membership() const { return raft_->membership(); }
+    // As this replica has applied them.
+    const SuspectRequests &suspects() const { return state_.suspects(); }
 
     // To be called only while maySpeak().
     HeartbeatReply heartbeat(const Heartbeat &heartbeat);
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -190,7 +190,8 @@
     }
     auto retries = retries_.find(active.service);
     if (retries == retries_.end())
-        retries = retries_.emplace(active.service, RetryWindow(settings_.retries, startedAt_)).first;
+        retries = retries_.emplace(active.service, RetryWindow(settings_.retries, startedAt_))
+                          .first;
     retries->second.onRequest(active.arrivedAt);
     return true;
 }
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -59,6 +59,16 @@
     return ((uint64_t { device() } << 32) | device()) | 1;
 }
 
+std::set<Fingerprint> quarantinedAmong(std::span<const SuspectRequest> suspects)
+{
+    std::set<Fingerprint> quarantined;
+    for (const SuspectRequest &item : suspects) {
+        if (item.status == SuspicionStatus::Quarantined)
+            quarantined.insert(item.fingerprint);
+    }
+    return quarantined;
+}
+
 tl::unexpected<Error> noLeader()
 {
     return failure(ErrorKind::NoLeader, "no leader of the control group is known here",
@@ -166,6 +176,7 @@
     , startCalls_(loop, peers, settings_.address)
     , spread_({ settings_.linkBytesPerSecond })
     , suspects_(suspectLimits())
+    , quarantineVersion_(randomEpoch())
 {
 }
 
@@ -210,10 +221,9 @@
         roster_.tick(now);
         routers_.removeExpired(now);
         rememberFleet(now);
-        if (suspects_.hasExpired(wallClockMillis())) {
-            suspects_.expire(wallClockMillis());
-            refreshQuarantine();
-        }
+        suspects_.expire(wallClockMillis());
+        refreshQuarantine();
+        commitQuarantine();
         metrics_.set("bamboogap_roster_endpoints", {}, double(roster_.size()));
         metrics_.set("bamboogap_routes_version", {}, double(control_.deployment().version()));
         metrics_.set("bamboogap_replica_current", {}, control_.isCurrent() ? 1 : 0);
@@ -396,6 +406,8 @@
         for (size_t i = 0; i < members.size(); ++i)
             replicas.set(i, members[i]);
     }
+    if (control_.suspects().version() != committedVersion_)
+        refreshQuarantine();
     reply.setSuspectsVersion(quarantineVersion_);
     if (request.getSuspectsVersion() != quarantineVersion_) {
         reply.setHasSuspects(true);
@@ -474,6 +486,7 @@
         || suspects_.statusOf(fingerprint) != SuspicionStatus::Quarantined)
         return;
     refreshQuarantine();
+    commitQuarantine();
     logEvent(LogLevel::Warning, "request_quarantined",
              { { "fingerprint", fmt::format("{:016x}", fingerprint) },
                { "router", std::string(router) },
@@ -483,17 +496,51 @@
 
 void ReplicaFront::refreshQuarantine()
 {
-    std::vector<Fingerprint> quarantined;
-    for (const SuspectRequest &item : suspects_.all()) {
-        if (item.status == SuspicionStatus::Quarantined)
-            quarantined.push_back(item.fingerprint);
+    if (control_.suspects().version() != committedVersion_) {
+        committedVersion_ = control_.suspects().version();
+        const auto before
+                = std::exchange(committedQuarantine_, quarantinedAmong(control_.suspects().all()));
+        for (const Fingerprint fingerprint : before) {
+            if (committedQuarantine_.count(fingerprint) == 0)
+                suspects_.liftQuarantine(fingerprint); // it was lifted for the whole fleet
+        }
     }
+    std::set<Fingerprint> all = quarantinedAmong(suspects_.all());
+    all.insert(committedQuarantine_.begin(), committedQuarantine_.end());
+    std::vector<Fingerprint> quarantined(all.begin(), all.end());
     if (quarantined == quarantined_)
         return;
     quarantined_ = std::move(quarantined);
     ++quarantineVersion_;
 }
 
+// A quarantine that only this process knew would end with it.
+void ReplicaFront::commitQuarantine()
+{
+    if (!control_.maySpeak())
+        return;
+    for (const Fingerprint fingerprint : quarantinedAmong(suspects_.all())) {
+        if (control_.suspects().statusOf(fingerprint) != SuspicionStatus::Quarantined)
+            commitCrashes(fingerprint, suspects_.crashesOf(fingerprint));
+    }
+}
+
+void ReplicaFront::commitCrashes(Fingerprint fingerprint, std::span<const std::string> crashes)
+{
+    for (const std::string &crash : crashes) {
+        loop_.detach(
+                control_.command(RecordCrashCommand { { fingerprint }, crash, wallClockMillis() })
+                        .then([fingerprint](Result<CommandAnswer> answer) {
+                            if (answer)
+                                return;
+                            logEvent(LogLevel::Warning, "quarantine_not_committed",
+                                     { { "fingerprint", fmt::format("{:016x}", fingerprint) },
+                                       { "problem", answer.error().message } });
+                        }),
+                "commit a quarantine");
+    }
+}
+
 void ReplicaFront::handle(ExchangeId exchange, const HttpRequest &request)
 {
     const auto order = dialect_.readOrder(request);
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -90,6 +90,8 @@
     void noteLeaving(std::string_view router, std::string_view endpointId, int64_t bornMillis);
     void noteCrash(std::string_view router, Fingerprint fingerprint, const std::string &crash);
     void refreshQuarantine();
+    void commitQuarantine();
+    void commitCrashes(Fingerprint fingerprint, std::span<const std::string> crashes);
     void noteDeployment();
     void recallFleet();
     void rememberFleet(Instant now);
@@ -127,10 +129,15 @@
     DocumentHistory documents_;
     DocumentDistributor spread_;
     SuspectRequests suspects_;
-    // The requests to be refused everywhere, and how often that changed. Only these go
-    // to the routers: under resets there are thousands of suspects.
+    // The requests to be refused everywhere. Only these go to the routers: under resets there
+    // are thousands of suspects.
     std::vector<Fingerprint> quarantined_;
-    uint64_t quarantineVersion_ = 1;
+    // Those of the log, which outlive this process, as last seen at a version of the log's
+    // suspects.
+    std::set<Fingerprint> committedQuarantine_;
+    uint64_t committedVersion_ = 0;
+    // Changes with quarantined_; differs from that of an earlier process.
+    uint64_t quarantineVersion_;
 };
 
 } // namespace bamboogap
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -51,6 +51,12 @@
 // Replicas that call a router before it knows the control group; a group has fewer members.
 constexpr size_t kMostCallers = 32;
 
+SuspicionStatus readStatus(uint8_t value)
+{
+    return static_cast<SuspicionStatus>(
+            std::min(value, static_cast<uint8_t>(SuspicionStatus::Quarantined)));
+}
+
 } // namespace
 
 SyncTask::SyncTask(EventLoop &loop, Peers &peers, SyncSettings settings, Hooks hooks)
@@ -84,8 +90,11 @@
     for (const std::string &address : wanted)
         links_.try_emplace(address);
     std::erase_if(links_, [&](const auto &item) {
-        return !item.second.inFlight
+        const bool unwanted = !item.second.inFlight
                 && std::find(wanted.begin(), wanted.end(), item.first) == wanted.end();
+        if (unwanted)
+            suspects_.remove(item.first);
+        return unwanted;
     });
 }
 
@@ -333,9 +342,10 @@
         hooks_.learn(read(reply.getPlacements()));
     link.suspectsVersion = reply.getSuspectsVersion();
     if (reply.getHasSuspects()) {
-        suspects_.clear();
+        std::vector<SuspectRequest> suspects;
         for (const auto item : reply.getSuspects())
-            suspects_[item.getFingerprint()] = static_cast<SuspicionStatus>(item.getStanding());
+            suspects.push_back({ item.getFingerprint(), readStatus(item.getStanding()) });
+        suspects_.assign(address, suspects);
     }
     if (!table_ || reply.getRoutesVersion() > table_->version())
         fetchRoutes(address);
@@ -493,12 +503,6 @@
     followReplicas();
 }
 
-SuspicionStatus SyncTask::standingOf(Fingerprint fingerprint) const
-{
-    const auto found = suspects_.find(fingerprint);
-    return found == suspects_.end() ? SuspicionStatus::Clear : found->second;
-}
-
 bool SyncTask::isReady(Instant now) const
 {
     if (!table_)
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "control/documentpiece.h"
-#include "control/suspects.h"
+#include "control/suspectlists.h"
 #include "fleet/placementlog.h"
 #include "fleet/reportlog.h"
 #include "fleet/roster.h"
@@ -90,7 +90,10 @@
     FleetPosition fleet() const { return fleet_; }
     // Number of routers that divide the fleet's limits; 0 if unknown.
     uint32_t sharers(Instant now) const { return sharers_.count(now); }
-    SuspicionStatus standingOf(Fingerprint fingerprint) const;
+    SuspicionStatus standingOf(Fingerprint fingerprint) const
+    {
+        return suspects_.statusOf(fingerprint);
+    }
 
     // True once the router may serve: a replica in touch with a leader has answered
     // and its routes are known, or no such replica was found for a while but some
@@ -165,7 +168,7 @@
     std::vector<EndpointUse> others_;
     FleetPosition fleet_;
     SharerCount sharers_;
-    std::map<Fingerprint, SuspicionStatus> suspects_;
+    SuspectLists suspects_;
     ReportLog<Crash> crashes_;
     ReportLog<LeavingEndpoint> leavingEndpoints_;
     PlacementLog placements_; // of this router, until every replica has them
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -666,7 +666,8 @@
              "dropped lines are reported")
 
 
-def crashing_request(fleet):
+def set_up_crashing_request(fleet):
+    """Every endpoint breaks off under /read/crash."""
     for number in range(6):
         fleet.add_endpoint(f"plain-{number}", "plain")
     set_up_endpoints(fleet)
@@ -680,6 +681,10 @@
 
     for endpoint in fleet.endpoints:
         endpoint.on_request = reset_crash_path
+
+
+def crashing_request(fleet):
+    set_up_crashing_request(fleet)
     ids = []
     for number in range(12):
         status, headers, _ = fleet.send_request("/read/crash", router=number % 2)
@@ -690,9 +695,45 @@
     assert status == 503
 
 
+def quarantine_outlives_restarts(fleet):
+    """A quarantined request stays so while replicas and then all nodes restart."""
+    set_up_crashing_request(fleet)
+
+    def send(count):
+        ids = []
+        for number in range(count):
+            try:
+                ids.append(fleet.send_request("/read/crash", router=number % 2)[1]["id"])
+            except OSError:
+                pass  # the router starts
+            time.sleep(0.3)
+        return sum(run_count(fleet, request) for request in ids)
+
+    def restart(nodes):
+        for node in nodes:
+            node.kill()
+        for node in nodes:
+            node.write_settings(first_start=False)
+            node.start()
+        wait_for(lambda: fleet.voters() == 5, 20, "all replicas are voters")
+        wait_for(lambda: all(router.ready() for router in fleet.routers), 10, "routers are ready")
+        wait_for(lambda: fleet.send_request("/read/1")[0] == 200, 10, "other requests are served")
+
+    send(8)
+    time.sleep(1)  # until every replica has stored it
+    assert send(4) == 0, "the request is not quarantined"
+    for replica in fleet.replicas:
+        restart([replica])
+        assert send(2) == 0, f"the request reaches endpoints after the restart of {replica.name}"
+    restart(fleet.routers)
+    assert send(4) == 0, "the request reaches endpoints after the restart of the routers"
+    restart(fleet.replicas + fleet.routers)
+    assert send(4) == 0, "the request reaches endpoints after the restart of all nodes"
+
+
 CASES = {name: case for name, case in list(globals().items())
          if callable(case) and getattr(case, "__module__", "") == "__main__"
-         and name not in ("set_up_endpoints", "run_count", "event_ids", "many_routes",
+         and name not in ("set_up_endpoints", "set_up_crashing_request", "run_count", "event_ids", "many_routes",
                           "sent_bytes")}
 
 
