--- /dev/null
+++ b/control/testing/partsuspects_test.cc
@@ -0,0 +1,236 @@
+// Which prompt parts are quarantined for the crashes of engines.
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "control/partsuspects.h"
+
+namespace bamboogap {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart { seconds(1000) };
+constexpr Duration kDelay = seconds(1);
+constexpr Fingerprint kPart = 7;
+
+Instant at(int64_t millis)
+{
+    return kStart + milliseconds(millis);
+}
+
+// A crash of engine `number`, some 100 ms after the request was sent to it.
+PartCrash crash(Fingerprint part, int number, int64_t millis, int64_t sentMillis)
+{
+    return { part, "e" + std::to_string(number), 1, at(sentMillis), at(millis) };
+}
+
+PartCrash crash(Fingerprint part, int number, int64_t millis)
+{
+    return crash(part, number, millis, millis - 100);
+}
+
+TEST_CASE("a part that crashes one engine after the other is quarantined")
+{
+    PartSuspects suspects;
+    suspects.recordCrash(crash(kPart, 1, 1000));
+    suspects.recordCrash(crash(kPart, 2, 2000));
+    suspects.recordAnyFirstToken(at(2500));
+    CHECK(suspects.quarantine(at(2900), kDelay).empty());
+    suspects.recordCrash(crash(kPart, 3, 3000));
+    const auto verdicts = suspects.quarantine(at(3000), kDelay);
+    REQUIRE(verdicts.size() == 1);
+    CHECK(verdicts[0].part == kPart);
+    CHECK(verdicts[0].crashes == std::vector<std::string> { "e1/1", "e2/1", "e3/1" });
+    CHECK(suspects.isQuarantined(kPart));
+    CHECK(suspects.quarantine(at(4000), kDelay).empty()); // told once
+    CHECK(suspects.suspects(10).empty());
+}
+
+TEST_CASE("a part with a first token between the crashes is not quarantined")
+{
+    PartSuspects suspects;
+    suspects.recordAnyFirstToken(at(9000));
+    suspects.recordCrash(crash(kPart, 1, 1000));
+    suspects.recordCrash(crash(kPart, 2, 2000));
+    suspects.recordFirstToken(kPart, at(2500));
+    suspects.recordCrash(crash(kPart, 3, 3000));
+    suspects.recordCrash(crash(kPart, 4, 4000));
+    CHECK(suspects.quarantine(at(9000), kDelay).empty());
+    suspects.recordFirstToken(kPart, at(500)); // before the crashes: does not count
+    suspects.recordCrash(crash(kPart, 5, 5000));
+    CHECK(suspects.quarantine(at(9000), kDelay).size() == 1);
+}
+
+TEST_CASE("engines that crash at the same moment count once")
+{
+    PartSuspects suspects;
+    suspects.recordAnyFirstToken(at(9000));
+    for (int i = 0; i < 10; ++i)
+        suspects.recordCrash(crash(kPart, i, 1000 + i, 900));
+    CHECK(suspects.quarantine(at(9000), kDelay).empty());
+}
+
+TEST_CASE("crashes while no engine works do not quarantine a part")
+{
+    PartSuspects suspects;
+    suspects.recordAnyFirstToken(at(900));
+    for (int i = 0; i < 5; ++i)
+        suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
+    CHECK(suspects.quarantine(at(9000), kDelay).empty());
+    suspects.recordAnyFirstToken(at(9500));
+    CHECK(suspects.quarantine(at(9600), kDelay).size() == 1);
+}
+
+TEST_CASE("a first token that is reported late prevents or ends a quarantine")
+{
+    PartSuspects suspects;
+    suspects.recordAnyFirstToken(at(9000));
+    for (int i = 0; i < 3; ++i)
+        suspects.recordCrash(crash(kPart, i, 1000 + 200 * i));
+    CHECK(suspects.quarantine(at(1900), kDelay).empty()); // its report may be on the way
+    CHECK(suspects.quarantine(at(2000), kDelay).size() == 1);
+    suspects.recordFirstToken(kPart, at(1350));
+    CHECK_FALSE(suspects.isQuarantined(kPart));
+    CHECK(suspects.takeReleased() == std::vector<Fingerprint> { kPart });
+    CHECK(suspects.takeReleased().empty());
+}
+
+TEST_CASE("crashes of engines that go on are withdrawn")
+{
+    PartSuspects suspects;
+    suspects.recordAnyFirstToken(at(9000));
+    for (int i = 0; i < 3; ++i)
+        suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
+    REQUIRE(suspects.quarantine(at(4000), kDelay).size() == 1);
+    suspects.withdrawCrash("e1", 2); // another incarnation
+    CHECK(suspects.isQuarantined(kPart));
+    suspects.withdrawCrash("e1", 1);
+    CHECK_FALSE(suspects.isQuarantined(kPart));
+    CHECK(suspects.takeReleased() == std::vector<Fingerprint> { kPart });
+}
+
+TEST_CASE("the suspected parts are bounded and expire")
+{
+    PartSuspectLimits limits;
+    limits.maxParts = 3;
+    PartSuspects suspects(limits);
+    for (Fingerprint part = 1; part <= 5; ++part)
+        suspects.recordCrash(crash(part, 1, 1000 * static_cast<int64_t>(part)));
+    CHECK(suspects.size() == 3);
+    CHECK(suspects.suspects(10) == std::vector<Fingerprint> { 3, 4, 5 });
+    CHECK(suspects.suspects(2).size() == 2);
+    suspects.expire(at(4000) + limits.retention + milliseconds(1));
+    CHECK(suspects.suspects(10) == std::vector<Fingerprint> { 5 });
+}
+
+TEST_CASE("a part that always comes with the one that crashes engines is not quarantined")
+{
+    constexpr Fingerprint kCompanion = 8;
+    PartSuspects suspects;
+    suspects.recordAnyFirstToken(at(9000));
+    for (int i = 0; i < 4; ++i) {
+        suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
+        suspects.recordCrash(crash(kCompanion, i, 1000 * (i + 1)));
+        suspects.recordFirstToken(kCompanion, at(500)); // before the first crash
+    }
+    const auto verdicts = suspects.quarantine(at(9000), kDelay);
+    REQUIRE(verdicts.size() == 1);
+    CHECK(verdicts[0].part == kPart);
+    // Crashes without the quarantined part count.
+    for (int i = 10; i < 13; ++i)
+        suspects.recordCrash(crash(kCompanion, i, 1000 * i));
+    suspects.recordAnyFirstToken(at(13000));
+    CHECK(suspects.quarantine(at(14000), kDelay).size() == 1);
+    CHECK(suspects.isQuarantined(kCompanion));
+}
+
+// Requests of several parts on a few engines. The requests of an engine wait for their first
+// tokens, those with one of the parts crash it, and reports reach the replica late.
+TEST_CASE("of many parts only the one that crashes engines is quarantined", "[fuzz]")
+{
+    rc::prop("the verdict is right and comes in time", [](uint16_t seed) {
+        constexpr Fingerprint kShared = 1;
+        constexpr Fingerprint kDeadly = 2;
+        constexpr Fingerprint kCompanion = 100; // of sound requests, too
+        constexpr int kEngines = 8;
+        struct Waiting
+        {
+            std::vector<Fingerprint> parts;
+            Instant sentAt;
+            Instant tokenAt;
+        };
+        std::mt19937 random(seed);
+        PartSuspects suspects;
+        std::vector<std::vector<Waiting>> engines(kEngines);
+        std::vector<int> starts(kEngines, 1);
+        std::vector<std::pair<Instant, std::function<void()>>> reports;
+        std::map<Fingerprint, Instant> lastToken; // as reported
+        std::set<Fingerprint> quarantined;
+        int crashes = 0;
+        Instant fifthCrashAt = Instant::max();
+        Instant quarantinedAt = Instant::max();
+        for (Instant now = kStart; now < kStart + seconds(30); now += milliseconds(10)) {
+            if (random() % 100 < 40) {
+                std::vector<Fingerprint> parts { kShared, 100 + random() % 40 };
+                if (random() % 100 < 8 && quarantined.empty())
+                    parts = { kShared, kCompanion, kDeadly };
+                engines[random() % kEngines].push_back(
+                        { parts, now, now + milliseconds(50 + random() % 150) });
+            }
+            for (int i = 0; i < kEngines; ++i) {
+                auto &batch = engines[i];
+                const bool crashed = std::any_of(batch.begin(), batch.end(), [&](const auto &item) {
+                    return item.parts.back() == kDeadly && item.tokenAt <= now;
+                });
+                for (const Waiting &item : batch) {
+                    if (!crashed && item.tokenAt > now)
+                        continue;
+                    const Instant due = now + milliseconds(random() % (crashed ? 250 : 700));
+                    for (const Fingerprint part : item.parts) {
+                        const PartCrash crash { part, "e" + std::to_string(i), starts[i],
+                                                item.sentAt, now };
+                        reports.emplace_back(due, [&suspects, &lastToken, crash, crashed, now] {
+                            if (crashed) {
+                                suspects.recordCrash(crash);
+                            } else {
+                                suspects.recordAnyFirstToken(now);
+                                lastToken[crash.part] = now;
+                            }
+                            // Routers report the last first token of a suspected part.
+                            if (lastToken.count(crash.part) > 0)
+                                suspects.recordFirstToken(crash.part, lastToken[crash.part]);
+                        });
+                    }
+                }
+                if (crashed && ++crashes == 5)
+                    fifthCrashAt = now;
+                starts[i] += crashed;
+                std::erase_if(batch,
+                              [&](const auto &item) { return crashed || item.tokenAt <= now; });
+            }
+            for (const auto &[due, report] : reports) {
+                if (due <= now)
+                    report();
+            }
+            std::erase_if(reports, [now](const auto &item) { return item.first <= now; });
+            for (const auto &verdict : suspects.quarantine(now, kDelay)) {
+                quarantined.insert(verdict.part);
+                RC_ASSERT(lastToken.count(verdict.part) == 0U);
+            }
+            if (quarantined.count(kDeadly) > 0)
+                quarantinedAt = std::min(quarantinedAt, now);
+        }
+        RC_ASSERT(suspects.isQuarantined(kDeadly));
+        RC_ASSERT((fifthCrashAt == Instant::max() || quarantinedAt <= fifthCrashAt + seconds(3)));
+    });
+}
+
+} // namespace
+} // namespace bamboogap
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -33,6 +33,9 @@
                                        std::chrono::milliseconds(800) };
 constexpr ReturnTime kAtOnce { std::chrono::milliseconds(20), std::chrono::milliseconds(80) };
 
+// How long an answer of an endpoint that seemed to crash is looked for.
+constexpr Duration kCrashMemory = std::chrono::minutes(1);
+
 std::string millisText(Duration duration)
 {
     return fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(duration).count());
@@ -66,6 +69,11 @@
     if (!head.endpointId.empty() && head.endpointId != active.endpointId)
         return;
     const Instant now = BootClock::now();
+    const auto crashed = crashed_.find({ active.endpointId, active.endpointBorn });
+    if (crashed != crashed_.end() && active.sentAt > crashed->second) {
+        crashed_.erase(crashed);
+        sync_->reportLiving({ active.endpointId, active.endpointBorn });
+    }
     if (!head.unreadable.empty()) {
         logEvent(LogLevel::Warning, "answer_header_ignored",
                  { { "request", active.caller.id },
@@ -90,6 +98,27 @@
     }
 }
 
+void DirectRouter::noteFirstToken(const Active &active)
+{
+    if (active.isEngine)
+        firstTokens_.record(active.parts, BootClock::now());
+}
+
+// The endpoint broke off before the first token.
+void DirectRouter::noteCrash(const Active &active)
+{
+    const Instant now = BootClock::now();
+    sync_->reportCrash({ active.fingerprint, crashName(active.endpointId, active.endpointBorn) });
+    if (!active.isEngine || active.parts.empty())
+        return;
+    std::erase_if(crashed_, [now](const auto &item) { return now - item.second > kCrashMemory; });
+    crashed_.try_emplace({ active.endpointId, active.endpointBorn }, now);
+    for (const Fingerprint part : active.parts) {
+        sync_->reportPartCrash(
+                { part, active.endpointId, active.endpointBorn, active.sentAt, now });
+    }
+}
+
 void DirectRouter::onData(ExchangeId id, std::string_view data)
 {
     Active &active = *active_.at(id);
@@ -169,6 +198,7 @@
         board_.onFirstToken(active.endpoint, active.unreadTokens, active.expectedMillis,
                             now - active.sentAt);
         sync_->roster().recordResponse(active.endpointId, now);
+        noteFirstToken(active);
     }
     if (!active.streaming) {
         active.streaming = true;
@@ -199,8 +229,7 @@
         ++active.runs;
         settle(active, Outcome::Broken, reason);
         if (!active.hadFirstByte)
-            sync_->reportCrash({ active.fingerprint,
-                                 fmt::format("{}/{}", active.endpointId, active.endpointBorn) });
+            noteCrash(active);
         tryAgain(active, Outcome::Broken, reason);
         return;
     }
@@ -234,6 +263,7 @@
     }
     if (active.success) {
         sync_->roster().recordResponse(active.endpointId, BootClock::now());
+        noteFirstToken(active);
         settle(active, Outcome::Succeeded, "");
         answerEndpoint(active);
         return;
@@ -279,12 +309,12 @@
 {
     const Instant now = BootClock::now();
     const bool notRun = outcome == Outcome::Unreachable || outcome == Outcome::Rejected;
-    const bool allowed = notRun ? active.sends < kMostSends
-                                : mayRunAgain(active) && active.runs < active.route->maxAttempts;
+    const bool mayRepeat = notRun ? active.sends < kMostSends
+                                  : mayRunAgain(active) && active.runs < active.route->maxAttempts;
     const bool inTime = active.deadline - now >= kLeastRemaining;
-    const bool spare
-            = outcome == Outcome::Unreachable || (allowed && inTime && takeRetry(active, now));
-    if (allowed && inTime && spare) {
+    const bool quarantined = isQuarantined(active);
+    const bool allowed = mayRepeat && inTime && !quarantined;
+    if (allowed && (outcome == Outcome::Unreachable || takeRetry(active, now))) {
         active.events.dropPartial();
         metrics_.count("bamboogap_retries_total");
         const auto placed = board_.place(placementRequest(active), now, chance());
@@ -302,7 +332,7 @@
         return;
     }
     if (notRun && active.runs == 0) {
-        refuse(active, Refusal::NoCapacity, reason);
+        refuse(active, quarantined ? Refusal::Quarantined : Refusal::NoCapacity, reason);
         return;
     }
     fail(active, inTime ? 502 : 504, reason);
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -7,6 +7,7 @@
 
 #include "node/directdaemon.h"
 
+#include <charconv>
 #include <csignal>
 #include <filesystem>
 
@@ -19,6 +20,7 @@
 #include "node/directrouter.h"
 #include "node/httpserver.h"
 #include "node/metrics.h"
+#include "node/refusal.h"
 #include "node/replicafront.h"
 #include "node/synctask.h"
 #include "node/trafficmeter.h"
@@ -197,6 +199,7 @@
         SyncTask::Hooks hooks;
         hooks.uses = [this] { return router_->uses(); };
         hooks.takePlacements = [this] { return router_->takePlacements(); };
+        hooks.firstTokens = [this]() -> const FirstTokens & { return router_->firstTokens(); };
         hooks.learn = [this](std::span<const PromptPlacement> placements) {
             router_->learn(placements);
         };
@@ -288,6 +291,10 @@
         } else if (request.pathOnly() == "/v1/operators/node"
                    || request.pathOnly() == "/v1/operators/status") {
             reply.body = nodeStatus().dump();
+        } else if (request.method == "POST" && front_
+                   && request.pathOnly() == "/v1/operators/quarantine/release") {
+            liftQuarantine(id, request.query("fingerprint"));
+            return;
         } else if (request.pathOnly() == "/healthz") {
             reply.body = "{}";
         } else {
@@ -298,6 +305,39 @@
         operatorPort_->reply(id, reply);
     }
 
+    void liftQuarantine(ExchangeId id, std::string_view text)
+    {
+        constexpr int kHex = 16;
+        Fingerprint fingerprint = 0;
+        const auto parsed
+                = std::from_chars(text.data(), text.data() + text.size(), fingerprint, kHex);
+        if (text.empty() || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+            replyError(id,
+                       { ErrorKind::InvalidRequest, "the query names no fingerprint",
+                         "send ?fingerprint=HEX as the status shows it" });
+            return;
+        }
+        loop_.detach(front_->liftQuarantine(fingerprint).then([this, id, fingerprint](auto lifted) {
+            logEvent(LogLevel::Info, "quarantine_lifted",
+                     { { "fingerprint", fmt::format("{:016x}", fingerprint) },
+                       { "outcome", lifted ? "committed" : "unknown" },
+                       { "problem", lifted ? "" : lifted.error().message } });
+            if (!lifted) {
+                replyError(id, lifted.error());
+                return;
+            }
+            HttpReply reply;
+            reply.body = R"({"accepted":true})";
+            operatorPort_->reply(id, reply);
+        }),
+                     "lift a quarantine");
+    }
+
+    void replyError(ExchangeId id, const Error &error)
+    {
+        operatorPort_->reply(id, refusal(error, RunState::NotRun, ""));
+    }
+
     nlohmann::json nodeStatus()
     {
         const Instant now = BootClock::now();
--- a/node/directrequest.h
+++ b/node/directrequest.h
@@ -15,6 +15,7 @@
     HttpRequest request;
     CallerRequest caller;
     std::vector<ChainPart> prompt;
+    std::vector<Fingerprint> parts; // of the prompt, without the last, which is the request's own
     std::shared_ptr<const RouteTable> table; // keeps route alive
     const Route *route = nullptr;
     std::string workspace;
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -44,6 +44,14 @@
     return combineHashes(hashBytes(request.path, hashBytes(accessKey)), hashBytes(request.body));
 }
 
+std::vector<Fingerprint> sharedParts(std::span<const PrefixPart> prompt)
+{
+    std::vector<Fingerprint> parts;
+    for (size_t i = 0; i + 1 < prompt.size(); ++i)
+        parts.push_back(partFingerprint(prompt[i].id));
+    return parts;
+}
+
 } // namespace
 
 DirectRouter::DirectRouter(EventLoop &loop, const Dialect &dialect, DirectRouterSettings settings,
@@ -143,6 +151,7 @@
     }
     active.caller = std::move(*caller);
     active.prompt = chainOf(active.caller.prompt);
+    active.parts = sharedParts(active.caller.prompt);
     if (active.arrivedAt > lastCall_) {
         refuse(active, Refusal::NotReady, "the router stops");
         return false;
@@ -184,10 +193,6 @@
             + std::min(route.timeout, active.caller.remaining.value_or(kNoRouteTimeout));
     active.waitUntil = active.arrivedAt + scaled(route.latencyGoal, kWaitShare);
     active.fingerprint = fingerprintOf(active.request, active.caller.accessKey);
-    if (sync_->standingOf(active.fingerprint) == SuspicionStatus::Quarantined) {
-        refuse(active, Refusal::Quarantined, "endpoints crashed under this request");
-        return false;
-    }
     auto retries = retries_.find(active.service);
     if (retries == retries_.end())
         retries = retries_.emplace(active.service, RetryWindow(settings_.retries, startedAt_))
@@ -196,6 +201,15 @@
     return true;
 }
 
+bool DirectRouter::isQuarantined(const Active &active) const
+{
+    const auto quarantined = [this](Fingerprint fingerprint) {
+        return sync_->standingOf(fingerprint) == SuspicionStatus::Quarantined;
+    };
+    return quarantined(active.fingerprint)
+            || std::any_of(active.parts.begin(), active.parts.end(), quarantined);
+}
+
 PlacementRequest DirectRouter::placementRequest(const Active &active) const
 {
     PlacementRequest request;
@@ -218,6 +232,11 @@
         fail(active, 504, "no time is left");
         return;
     }
+    if (isQuarantined(active)) {
+        waiting_.erase(active.id);
+        refuse(active, Refusal::Quarantined, "endpoints crashed under this request");
+        return;
+    }
     const auto placed = board_.place(placementRequest(active), now, chance());
     if (placed) {
         waiting_.erase(active.id);
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -22,6 +22,7 @@
 #include "node/synctask.h"
 #include "routing/endpointselector.h"
 #include "routing/eventstream.h"
+#include "routing/firsttokens.h"
 #include "routing/retrywindow.h"
 
 namespace bamboogap {
@@ -62,6 +63,7 @@
     std::vector<PromptPlacement> takePlacements() { return board_.takePlacements(); }
     void learn(std::span<const PromptPlacement> placements) { board_.addPlacements(placements); }
     const EndpointSelector &board() const { return board_; }
+    const FirstTokens &firstTokens() const { return firstTokens_; }
     size_t openCount() const { return active_.size(); }
 
 private:
@@ -75,6 +77,9 @@
     void send(Active &active, const Placement &placement);
     bool onHead(ExchangeId id, int status, std::span<const HttpHeader> headers);
     void heedEndpoint(const Active &active);
+    void noteFirstToken(const Active &active);
+    void noteCrash(const Active &active);
+    bool isQuarantined(const Active &active) const;
     void onData(ExchangeId id, std::string_view data);
     void hold(Active &active, std::string_view data);
     void dropBody(Active &active);
@@ -116,6 +121,9 @@
     EndpointSelector board_;
     EndpointPool pool_;
     std::map<std::string, RetryWindow, std::less<>> retries_; // by service
+    FirstTokens firstTokens_;
+    // Incarnations of endpoints that were reported to have crashed, and when.
+    std::map<std::pair<std::string, int64_t>, Instant> crashed_;
     std::map<ExchangeId, std::unique_ptr<Active>> active_;
     std::set<ExchangeId> waiting_; // for a place, or for routes
     Instant startedAt_ {};
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -34,6 +34,12 @@
 // Two leave room for an innocent request that met two crashes in a row.
 constexpr size_t kCrashesToQuarantine = 3;
 
+// A first token of a suspected part is known here after this: the router hears of the suspicion
+// and reports. Reports of a large fleet come less often.
+constexpr Duration kLeastEvidenceDelay = std::chrono::seconds(1);
+constexpr Duration kEvidencePerRouter = std::chrono::milliseconds(8);
+constexpr size_t kMaxPartsWatched = 64;
+
 // Placements told in one answer. All routers together get so many in a round of
 // reports, so that a large fleet's news leaves a replica's link to the log: a placement
 // takes some 60 bytes, and a round about 8 ms a router.
@@ -222,8 +228,8 @@
         routers_.removeExpired(now);
         rememberFleet(now);
         suspects_.expire(wallClockMillis());
-        refreshQuarantine();
-        commitQuarantine();
+        partSuspects_.expire(now);
+        quarantineParts(now);
         metrics_.set("bamboogap_roster_endpoints", {}, double(roster_.size()));
         metrics_.set("bamboogap_routes_version", {}, double(control_.deployment().version()));
         metrics_.set("bamboogap_replica_current", {}, control_.isCurrent() ? 1 : 0);
@@ -406,15 +412,14 @@
         for (size_t i = 0; i < members.size(); ++i)
             replicas.set(i, members[i]);
     }
-    if (control_.suspects().version() != committedVersion_)
-        refreshQuarantine();
+    noteEvidence(name, request, now);
     reply.setSuspectsVersion(quarantineVersion_);
     if (request.getSuspectsVersion() != quarantineVersion_) {
         reply.setHasSuspects(true);
-        auto list = reply.initSuspects(quarantined_.size());
-        for (size_t i = 0; i < quarantined_.size(); ++i) {
-            list[i].setFingerprint(quarantined_[i]);
-            list[i].setStanding(static_cast<uint8_t>(SuspicionStatus::Quarantined));
+        auto list = reply.initSuspects(told_.size());
+        for (size_t i = 0; i < told_.size(); ++i) {
+            list[i].setFingerprint(told_[i].fingerprint);
+            list[i].setStanding(static_cast<uint8_t>(told_[i].status));
         }
     }
 }
@@ -501,16 +506,29 @@
         const auto before
                 = std::exchange(committedQuarantine_, quarantinedAmong(control_.suspects().all()));
         for (const Fingerprint fingerprint : before) {
-            if (committedQuarantine_.count(fingerprint) == 0)
-                suspects_.liftQuarantine(fingerprint); // it was lifted for the whole fleet
+            if (committedQuarantine_.count(fingerprint) > 0)
+                continue;
+            // It was lifted for the whole fleet.
+            suspects_.liftQuarantine(fingerprint);
+            partSuspects_.forget(fingerprint);
+            quarantinedParts_.erase(fingerprint);
         }
     }
-    std::set<Fingerprint> all = quarantinedAmong(suspects_.all());
-    all.insert(committedQuarantine_.begin(), committedQuarantine_.end());
-    std::vector<Fingerprint> quarantined(all.begin(), all.end());
-    if (quarantined == quarantined_)
+    std::map<Fingerprint, SuspicionStatus> all;
+    for (const Fingerprint part : partSuspects_.suspects(kMaxPartsWatched))
+        all[part] = SuspicionStatus::Suspect;
+    for (const Fingerprint fingerprint : quarantinedAmong(suspects_.all()))
+        all[fingerprint] = SuspicionStatus::Quarantined;
+    for (const auto &[part, crashes] : quarantinedParts_)
+        all[part] = SuspicionStatus::Quarantined;
+    for (const Fingerprint fingerprint : committedQuarantine_)
+        all[fingerprint] = SuspicionStatus::Quarantined;
+    std::vector<SuspectRequest> told;
+    for (const auto &[fingerprint, status] : all)
+        told.push_back({ fingerprint, status });
+    if (told == told_)
         return;
-    quarantined_ = std::move(quarantined);
+    told_ = std::move(told);
     ++quarantineVersion_;
 }
 
@@ -523,6 +541,68 @@
         if (control_.suspects().statusOf(fingerprint) != SuspicionStatus::Quarantined)
             commitCrashes(fingerprint, suspects_.crashesOf(fingerprint));
     }
+    for (const auto &[part, crashes] : quarantinedParts_) {
+        if (control_.suspects().statusOf(part) != SuspicionStatus::Quarantined)
+            commitCrashes(part, crashes);
+    }
+}
+
+void ReplicaFront::noteEvidence(std::string_view router, wire::SyncRequest::Reader request,
+                                Instant now)
+{
+    const auto ago = [now](uint32_t millis) { return now - std::chrono::milliseconds(millis); };
+    for (const auto crash : request.getPartCrashes()) {
+        partSuspects_.recordCrash({ crash.getPart(), std::string(toView(crash.getEndpoint())),
+                                    crash.getBornMillis(), ago(crash.getSentMillisAgo()),
+                                    ago(crash.getBrokeMillisAgo()) });
+    }
+    for (const auto token : request.getFirstTokens())
+        partSuspects_.recordFirstToken(token.getPart(), ago(token.getMillisAgo()));
+    if (request.hasAnyFirstToken())
+        partSuspects_.recordAnyFirstToken(ago(request.getAnyFirstToken().getMillisAgo()));
+    for (const auto endpoint : request.getLivingEndpoints()) {
+        partSuspects_.withdrawCrash(toView(endpoint.getId()), endpoint.getBornMillis());
+        logEvent(LogLevel::Info, "crash_withdrawn",
+                 { { "endpoint", std::string(toView(endpoint.getId())) },
+                   { "told_by", std::string(router) } });
+    }
+    quarantineParts(now);
+}
+
+void ReplicaFront::quarantineParts(Instant now)
+{
+    const Duration evidenceDelay
+            = kLeastEvidenceDelay + routers_.aliveCount(now) * kEvidencePerRouter;
+    for (auto &verdict : partSuspects_.quarantine(now, evidenceDelay)) {
+        logEvent(LogLevel::Warning, "part_quarantined",
+                 { { "part", fmt::format("{:016x}", verdict.part) },
+                   { "crashes", fmt::format("{}", fmt::join(verdict.crashes, ",")) } });
+        metrics_.count("bamboogap_parts_quarantined_total");
+        quarantinedParts_[verdict.part] = std::move(verdict.crashes);
+    }
+    for (const Fingerprint part : partSuspects_.takeReleased()) {
+        logEvent(LogLevel::Warning, "part_released",
+                 { { "part", fmt::format("{:016x}", part) },
+                   { "reason", "a first token, or an engine that goes on" } });
+        quarantinedParts_.erase(part);
+        if (control_.maySpeak())
+            liftCommitted(part);
+    }
+    refreshQuarantine();
+    commitQuarantine();
+}
+
+void ReplicaFront::liftCommitted(Fingerprint fingerprint)
+{
+    loop_.detach(control_.command(ClearSuspectCommand { fingerprint, true })
+                         .then([fingerprint](Result<CommandAnswer> answer) {
+                             if (answer)
+                                 return;
+                             logEvent(LogLevel::Warning, "quarantine_not_lifted",
+                                      { { "fingerprint", fmt::format("{:016x}", fingerprint) },
+                                        { "problem", answer.error().message } });
+                         }),
+                 "lift a quarantine");
 }
 
 void ReplicaFront::commitCrashes(Fingerprint fingerprint, std::span<const std::string> crashes)
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -8,6 +8,7 @@
 #include <map>
 
 #include "control/documentpiece.h"
+#include "control/partsuspects.h"
 #include "control/suspects.h"
 #include "fleet/documentdistributor.h"
 #include "fleet/placementlog.h"
@@ -57,6 +58,11 @@
     void noteGroup(std::string_view replica, uint32_t routers, std::string_view uses);
     // What another replica has heard of endpoints.
     void noteRoster(std::string_view replica, const RosterChanges &changes);
+    // Lifts a quarantine for the whole fleet. NoLeader if that could not be committed.
+    kj::Promise<Result<void>> liftQuarantine(Fingerprint fingerprint)
+    {
+        return commit(ClearSuspectCommand { fingerprint, true });
+    }
     const RouterTable &routers() const { return routers_; }
     const ReplicaRoster &roster() const { return roster_; }
     TrafficMeter &traffic() { return traffic_; }
@@ -89,8 +95,11 @@
     void shareGroup();
     void noteLeaving(std::string_view router, std::string_view endpointId, int64_t bornMillis);
     void noteCrash(std::string_view router, Fingerprint fingerprint, const std::string &crash);
+    void noteEvidence(std::string_view router, wire::SyncRequest::Reader request, Instant now);
+    void quarantineParts(Instant now);
     void refreshQuarantine();
     void commitQuarantine();
+    void liftCommitted(Fingerprint fingerprint);
     void commitCrashes(Fingerprint fingerprint, std::span<const std::string> crashes);
     void noteDeployment();
     void recallFleet();
@@ -129,14 +138,16 @@
     DocumentHistory documents_;
     DocumentDistributor spread_;
     SuspectRequests suspects_;
-    // The requests to be refused everywhere. Only these go to the routers: under resets there
-    // are thousands of suspects.
-    std::vector<Fingerprint> quarantined_;
+    PartSuspects partSuspects_;
+    std::map<Fingerprint, std::vector<std::string>> quarantinedParts_; // with their crashes
+    // What is told to the routers: requests and parts to be refused everywhere, and parts whose
+    // first tokens they are to report. Of suspected requests there are thousands under resets.
+    std::vector<SuspectRequest> told_;
     // Those of the log, which outlive this process, as last seen at a version of the log's
     // suspects.
     std::set<Fingerprint> committedQuarantine_;
     uint64_t committedVersion_ = 0;
-    // Changes with quarantined_; differs from that of an earlier process.
+    // Changes with told_; differs from that of an earlier process.
     uint64_t quarantineVersion_;
 };
 
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -48,6 +48,8 @@
 // serves as soon as a leader is there.
 constexpr Duration kIntervalWithoutRoutes = std::chrono::milliseconds(50);
 constexpr size_t kMaxPlacementsSent = 256;
+// Urgent reports wait for others of the same crash.
+constexpr Duration kUrgentDelay = std::chrono::milliseconds(20);
 // Replicas that call a router before it knows the control group; a group has fewer members.
 constexpr size_t kMostCallers = 32;
 
@@ -100,17 +102,34 @@
 
 void SyncTask::syncAll()
 {
-    const Instant now = BootClock::now();
-    markLost(now);
+    markLost(BootClock::now());
     chooseSource();
     takePlacements();
+    syncLinks();
+    const Duration least = table_ ? settings_.interval : kIntervalWithoutRoutes;
+    const Duration interval = std::max<Duration>(least, fleet_.routers * kIntervalPerRouter);
+    loop_.detach(loop_.sleep(interval).then([this]() { syncAll(); }), "sync");
+}
+
+void SyncTask::syncLinks()
+{
+    const Instant now = BootClock::now();
     for (auto &[address, link] : links_) {
         if (!link.inFlight && now >= link.askAgainAt)
             sync(address);
     }
-    const Duration least = table_ ? settings_.interval : kIntervalWithoutRoutes;
-    const Duration interval = std::max<Duration>(least, fleet_.routers * kIntervalPerRouter);
-    loop_.detach(loop_.sleep(interval).then([this]() { syncAll(); }), "sync");
+}
+
+// One report for all that comes in within a moment.
+void SyncTask::syncSoon()
+{
+    if (std::exchange(syncSoon_, true))
+        return;
+    loop_.detach(loop_.sleep(kUrgentDelay).then([this]() {
+        syncSoon_ = false;
+        syncLinks();
+    }),
+                 "urgent sync");
 }
 
 // In a large fleet the source hears of this router's work more often than the other
@@ -196,6 +215,9 @@
         leaving[i].setBornMillis(newLeaving[i].bornMillis);
     }
     const uint64_t leavingSent = leavingEndpoints_.end();
+    writeEvidence(link, request);
+    const uint64_t partCrashesSent = partCrashes_.end();
+    const uint64_t livingSent = livingEndpoints_.end();
     uint64_t placementsSent = link.placementsSent;
     const auto placed = placements_.since(placementsSent, "-", kMaxPlacementsSent);
     write(placed, request.initPlacements(placed.size()));
@@ -211,13 +233,14 @@
             : kFirstAnswerLimit + fleet_.routers * kIntervalPerRouter;
     loop_.detach(loop_.within(limit, call.send())
                          .then(
-                                 [this, address, attempt, crashesSent, leavingSent,
-                                  placementsSent](auto &&response) {
+                                 [=, this](auto &&response) {
                                      ReplicaLink &answered = links_[address];
                                      if (answered.attempt != attempt)
                                          return;
                                      answered.crashesSent = crashesSent;
                                      answered.leavingSent = leavingSent;
+                                     answered.partCrashesSent = partCrashesSent;
+                                     answered.livingSent = livingSent;
                                      answered.placementsSent = placementsSent;
                                      answered.addressToldTo = response.getReply().getRosterEpoch();
                                      onReply(address, response.getReply());
@@ -228,6 +251,43 @@
                  "sync");
 }
 
+// What speaks for and against the parts of prompts that the replica suspects.
+void SyncTask::writeEvidence(const ReplicaLink &link, wire::SyncRequest::Builder request) const
+{
+    const Instant now = BootClock::now();
+    const auto millisAgo = [now](Instant at) {
+        return static_cast<uint32_t>(std::clamp<int64_t>(toMillis(now - at), 0, UINT32_MAX));
+    };
+    const auto newCrashes = partCrashes_.since(link.partCrashesSent);
+    auto crashes = request.initPartCrashes(newCrashes.size());
+    for (size_t i = 0; i < newCrashes.size(); ++i) {
+        crashes[i].setPart(newCrashes[i].part);
+        crashes[i].setEndpoint(newCrashes[i].endpoint);
+        crashes[i].setBornMillis(newCrashes[i].startMillis);
+        crashes[i].setSentMillisAgo(millisAgo(newCrashes[i].sentAt));
+        crashes[i].setBrokeMillisAgo(millisAgo(newCrashes[i].brokeAt));
+    }
+    const auto newLiving = livingEndpoints_.since(link.livingSent);
+    auto living = request.initLivingEndpoints(newLiving.size());
+    for (size_t i = 0; i < newLiving.size(); ++i) {
+        living[i].setId(newLiving[i].id);
+        living[i].setBornMillis(newLiving[i].bornMillis);
+    }
+    const FirstTokens &tokens = hooks_.firstTokens();
+    std::vector<std::pair<Fingerprint, Instant>> seen;
+    for (const Fingerprint part : link.watchedParts) {
+        if (const auto at = tokens.lastOf(part))
+            seen.emplace_back(part, *at);
+    }
+    auto firstTokens = request.initFirstTokens(seen.size());
+    for (size_t i = 0; i < seen.size(); ++i) {
+        firstTokens[i].setPart(seen[i].first);
+        firstTokens[i].setMillisAgo(millisAgo(seen[i].second));
+    }
+    if (const auto last = tokens.last())
+        request.initAnyFirstToken().setMillisAgo(millisAgo(*last));
+}
+
 // The attempt that hangs was made while the replica did not run.
 void SyncTask::onReplicaStarted(const std::string &address)
 {
@@ -346,6 +406,11 @@
         for (const auto item : reply.getSuspects())
             suspects.push_back({ item.getFingerprint(), readStatus(item.getStanding()) });
         suspects_.assign(address, suspects);
+        link.watchedParts.clear();
+        for (const SuspectRequest &item : suspects) {
+            if (item.status == SuspicionStatus::Suspect)
+                link.watchedParts.push_back(item.fingerprint);
+        }
     }
     if (!table_ || reply.getRoutesVersion() > table_->version())
         fetchRoutes(address);
@@ -492,11 +557,29 @@
                { "crash", crash.name } });
 }
 
-void SyncTask::reportLeaving(LeavingEndpoint endpoint)
+void SyncTask::reportLeaving(Incarnation endpoint)
 {
     leavingEndpoints_.add(std::move(endpoint));
 }
 
+void SyncTask::reportPartCrash(PartCrash crash)
+{
+    logEvent(LogLevel::Info, "part_suspected",
+             { { "part", fmt::format("{:016x}", crash.part) },
+               { "crash", crashName(crash.endpoint, crash.startMillis) },
+               { "waited_ms", fmt::to_string(toMillis(crash.brokeAt - crash.sentAt)) } });
+    partCrashes_.add(std::move(crash));
+    syncSoon();
+}
+
+void SyncTask::reportLiving(Incarnation endpoint)
+{
+    logEvent(LogLevel::Info, "endpoint_goes_on",
+             { { "endpoint", endpoint.id }, { "born_ms", fmt::to_string(endpoint.bornMillis) } });
+    livingEndpoints_.add(std::move(endpoint));
+    syncSoon();
+}
+
 void SyncTask::setSeeds(std::vector<std::string> seeds)
 {
     settings_.seeds = std::move(seeds);
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "control/documentpiece.h"
+#include "control/partsuspects.h"
 #include "control/suspectlists.h"
 #include "fleet/placementlog.h"
 #include "fleet/reportlog.h"
@@ -26,6 +27,7 @@
 #include "fleet/worksums.h"
 #include "node/eventloop.h"
 #include "node/peers.h"
+#include "routing/firsttokens.h"
 #include "routing/routetable.h"
 #include "routing/warmupratelimiter.h"
 
@@ -38,8 +40,8 @@
     std::string name; // of the crash: endpoint and birth
 };
 
-// An incarnation of an endpoint that said in an answer that it is about to end.
-struct LeavingEndpoint
+// An incarnation of an endpoint of which an answer tells something.
+struct Incarnation
 {
     std::string id;
     int64_t bornMillis = 0;
@@ -63,6 +65,7 @@
         std::function<std::vector<EndpointUse>()> uses;
         std::function<std::vector<PromptPlacement>()> takePlacements;
         std::function<void(std::span<const PromptPlacement>)> learn;
+        std::function<const FirstTokens &()> firstTokens;
         std::function<Result<RouteTable>(std::string_view)> parseRoutes;
         // Something of the below has changed.
         std::function<void()> changed;
@@ -75,7 +78,11 @@
     void leave();
     void reportCrash(const Crash &crash);
     // Goes to all replicas with the next report.
-    void reportLeaving(LeavingEndpoint endpoint);
+    void reportLeaving(Incarnation endpoint);
+    // Goes to all replicas at once, since each crash that follows costs an engine's batch.
+    void reportPartCrash(PartCrash crash);
+    // An endpoint that was reported to have crashed goes on.
+    void reportLiving(Incarnation endpoint);
     void setSeeds(std::vector<std::string> seeds);
     // A replica that has just started says where it answers.
     void onReplicaStarted(const std::string &address);
@@ -118,12 +125,18 @@
         Duration retryAfter {};
         uint64_t crashesSent = 0; // position in crashes_ up to which the replica has them
         uint64_t leavingSent = 0; // the same of leavingEndpoints_
+        uint64_t partCrashesSent = 0; // of partCrashes_
+        uint64_t livingSent = 0; // of livingEndpoints_
+        std::vector<Fingerprint> watchedParts; // that the replica suspects
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
         uint64_t placementsVersion = 0; // of others' placements, if it is their source
     };
 
     void syncAll();
+    void syncLinks();
+    void syncSoon();
     void syncSource();
+    void writeEvidence(const ReplicaLink &link, wire::SyncRequest::Builder request) const;
     void takePlacements();
     void sync(const std::string &address);
     void onReply(const std::string &address, wire::SyncReply::Reader reply);
@@ -170,7 +183,10 @@
     SharerCount sharers_;
     SuspectLists suspects_;
     ReportLog<Crash> crashes_;
-    ReportLog<LeavingEndpoint> leavingEndpoints_;
+    ReportLog<Incarnation> leavingEndpoints_;
+    ReportLog<PartCrash> partCrashes_;
+    ReportLog<Incarnation> livingEndpoints_;
+    bool syncSoon_ = false;
     PlacementLog placements_; // of this router, until every replica has them
     std::string sourceOfOthers_; // the replica that tells what the other routers do
     bool fetching_ = false;
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -226,6 +226,20 @@
   crash @1 :Text;  # names the crash: endpoint and its birth
 }
 
+# A request with the part waited for its first token when its engine crashed.
+struct PartCrash {
+  part @0 :UInt64;
+  endpoint @1 :Text;
+  bornMillis @2 :Int64;
+  sentMillisAgo @3 :UInt32;
+  brokeMillisAgo @4 :UInt32;
+}
+
+struct FirstToken {
+  part @0 :UInt64;
+  millisAgo @1 :UInt32;
+}
+
 struct ChainPart {
   chain @0 :UInt64;
   tokens @1 :UInt32;
@@ -260,6 +274,10 @@
   leavingEndpoints @14 :List(LeavingEndpoint);  # since the last sync that was answered
   reportsToSourceOnly @15 :Bool;  # uses are told to the replica with wantsOthers only
   peerAddress @16 :Text;  # of the router; empty if the replica was told it before
+  partCrashes @17 :List(PartCrash);  # since the last sync that was answered
+  firstTokens @18 :List(FirstToken);  # the last of each part that the replica suspects
+  anyFirstToken @19 :FirstToken;  # the last of any request; null if there was none
+  livingEndpoints @20 :List(LeavingEndpoint);  # reported to have crashed, and answered since
 }
 
 struct SyncReply {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -55,6 +55,8 @@
 CAPNP_DECLARE_SCHEMA(88e3d92a5762b4fb);
 CAPNP_DECLARE_SCHEMA(b4717f845e96b26c);
 CAPNP_DECLARE_SCHEMA(adae6e5e44840763);
+CAPNP_DECLARE_SCHEMA(86418119d4cfcce9);
+CAPNP_DECLARE_SCHEMA(ec87907a5dd5db35);
 CAPNP_DECLARE_SCHEMA(ce0a718398872f24);
 CAPNP_DECLARE_SCHEMA(b60c2c4b174015c3);
 CAPNP_DECLARE_SCHEMA(ba2f66fed2b87cd7);
@@ -461,6 +463,36 @@
   };
 };
 
+struct PartCrash {
+  PartCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86418119d4cfcce9, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FirstToken {
+  FirstToken() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec87907a5dd5db35, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ChainPart {
   ChainPart() = delete;
 
@@ -514,7 +546,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 8, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 8, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3822,6 +3854,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class PartCrash::Reader {
+public:
+  typedef PartCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::int64_t getBornMillis() const;
+
+  inline  ::uint32_t getSentMillisAgo() const;
+
+  inline  ::uint32_t getBrokeMillisAgo() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartCrash::Builder {
+public:
+  typedef PartCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::int64_t getBornMillis();
+  inline void setBornMillis( ::int64_t value);
+
+  inline  ::uint32_t getSentMillisAgo();
+  inline void setSentMillisAgo( ::uint32_t value);
+
+  inline  ::uint32_t getBrokeMillisAgo();
+  inline void setBrokeMillisAgo( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartCrash::Pipeline {
+public:
+  typedef PartCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FirstToken::Reader {
+public:
+  typedef FirstToken Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getMillisAgo() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FirstToken::Builder {
+public:
+  typedef FirstToken Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getMillisAgo();
+  inline void setMillisAgo( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FirstToken::Pipeline {
+public:
+  typedef FirstToken Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ChainPart::Reader {
 public:
   typedef ChainPart Reads;
@@ -4133,6 +4347,18 @@
   inline bool hasPeerAddress() const;
   inline  ::capnp::Text::Reader getPeerAddress() const;
 
+  inline bool hasPartCrashes() const;
+  inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader getPartCrashes() const;
+
+  inline bool hasFirstTokens() const;
+  inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader getFirstTokens() const;
+
+  inline bool hasAnyFirstToken() const;
+  inline  ::bamboogap::wire::FirstToken::Reader getAnyFirstToken() const;
+
+  inline bool hasLivingEndpoints() const;
+  inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader getLivingEndpoints() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4240,6 +4466,34 @@
   inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
 
+  inline bool hasPartCrashes();
+  inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder getPartCrashes();
+  inline void setPartCrashes( ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder initPartCrashes(unsigned int size);
+  inline void adoptPartCrashes(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>> disownPartCrashes();
+
+  inline bool hasFirstTokens();
+  inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder getFirstTokens();
+  inline void setFirstTokens( ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder initFirstTokens(unsigned int size);
+  inline void adoptFirstTokens(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>> disownFirstTokens();
+
+  inline bool hasAnyFirstToken();
+  inline  ::bamboogap::wire::FirstToken::Builder getAnyFirstToken();
+  inline void setAnyFirstToken( ::bamboogap::wire::FirstToken::Reader value);
+  inline  ::bamboogap::wire::FirstToken::Builder initAnyFirstToken();
+  inline void adoptAnyFirstToken(::capnp::Orphan< ::bamboogap::wire::FirstToken>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::FirstToken> disownAnyFirstToken();
+
+  inline bool hasLivingEndpoints();
+  inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder getLivingEndpoints();
+  inline void setLivingEndpoints( ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder initLivingEndpoints(unsigned int size);
+  inline void adoptLivingEndpoints(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>> disownLivingEndpoints();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4258,6 +4512,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::FirstToken::Pipeline getAnyFirstToken();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -11228,6 +11483,124 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PartCrash::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartCrash::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PartCrash::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PartCrash::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PartCrash::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PartCrash::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PartCrash::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PartCrash::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PartCrash::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PartCrash::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t PartCrash::Reader::getBornMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PartCrash::Builder::getBornMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setBornMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartCrash::Reader::getSentMillisAgo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getSentMillisAgo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setSentMillisAgo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartCrash::Reader::getBrokeMillisAgo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartCrash::Builder::getBrokeMillisAgo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PartCrash::Builder::setBrokeMillisAgo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FirstToken::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FirstToken::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FirstToken::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FirstToken::Reader::getMillisAgo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FirstToken::Builder::getMillisAgo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FirstToken::Builder::setMillisAgo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ChainPart::Reader::getChain() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -11730,6 +12103,147 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::hasPartCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasPartCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getPartCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getPartCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setPartCrashes( ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initPartCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptPartCrashes(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownPartCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool SyncRequest::Reader::hasFirstTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasFirstTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getFirstTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getFirstTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setFirstTokens( ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initFirstTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptFirstTokens(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownFirstTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool SyncRequest::Reader::hasAnyFirstToken() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasAnyFirstToken() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::FirstToken::Reader SyncRequest::Reader::getAnyFirstToken() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::FirstToken::Builder SyncRequest::Builder::getAnyFirstToken() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::FirstToken::Pipeline SyncRequest::Pipeline::getAnyFirstToken() {
+  return  ::bamboogap::wire::FirstToken::Pipeline(_typeless.getPointerField(9));
+}
+#endif  // !CAPNP_LITE
+inline void SyncRequest::Builder::setAnyFirstToken( ::bamboogap::wire::FirstToken::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::FirstToken::Builder SyncRequest::Builder::initAnyFirstToken() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::adoptAnyFirstToken(
+    ::capnp::Orphan< ::bamboogap::wire::FirstToken>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::FirstToken> SyncRequest::Builder::disownAnyFirstToken() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool SyncRequest::Reader::hasLivingEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasLivingEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getLivingEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getLivingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setLivingEndpoints( ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initLivingEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptLivingEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownLivingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool SyncReply::Reader::getCurrent() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -7,6 +7,7 @@
 
 import http.client
 import http.server
+import itertools
 import json
 import os
 import shutil
@@ -116,6 +117,8 @@
         self.events = 5
         self.event_interval = 0.0
         self.sends_heartbeats = True
+        self.crashed = False
+        self.connections = set()  # that are open
         self.server = ErrorIgnoringServer(("127.0.0.1", free_port()), self.handler_class())
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.heartbeat_loop, daemon=True).start()
@@ -129,6 +132,17 @@
             def log_message(self, *unused):
                 pass
 
+            def setup(self):
+                super().setup()
+                endpoint.connections.add(self.connection)
+
+            def finish(self):
+                endpoint.connections.discard(self.connection)
+                try:
+                    super().finish()
+                except OSError:
+                    pass  # the endpoint crashed
+
             def do_POST(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 endpoint.handle_request(self, body)
@@ -222,6 +236,17 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def crash(self):
+        """Ends all connections and does not come back."""
+        self.crashed = True
+        self.sends_heartbeats = False
+        self.server.socket.close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # closed already
+
 
 class DirectFleet:
     """Control replicas and routers spread over three data centres."""
@@ -237,7 +262,7 @@
         self.routers = [Node(self, f"router-{i}", f"127.77.{net}.{i + 101}", f"dc{i % 3 + 1}",
                              False) for i in range(routers)]
         self.endpoints = []
-        self.request_count = 0
+        self.request_numbers = itertools.count(1)
         self.extra_settings = []  # lines of YAML for every node
         self.link_mbps = None  # link capacity in the settings of every node
 
@@ -347,8 +372,7 @@
     def send_request(self, path, method="GET", body=None, router=0, key="key-1", timeout=10,
                      **headers):
         """Sends a client's request; returns status, headers with the request's 'id', and body."""
-        self.request_count += 1
-        request = f"attempt-{self.request_count}"
+        request = f"attempt-{next(self.request_numbers)}"
         request_headers = {"Host": "a.example", "X-Attempt-Id": request, "X-Deadline-Ms": "8000"}
         if key:
             request_headers["Authorization"] = "Token " + key
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -695,6 +695,18 @@
     assert status == 503
 
 
+def restart_nodes(fleet, nodes):
+    """Kills the nodes, starts them again and waits until requests are served."""
+    for node in nodes:
+        node.kill()
+    for node in nodes:
+        node.write_settings(first_start=False)
+        node.start()
+    wait_for(lambda: fleet.voters() == 5, 20, "all replicas are voters")
+    wait_for(lambda: all(router.ready() for router in fleet.routers), 10, "routers are ready")
+    wait_for(lambda: fleet.send_request("/read/1")[0] == 200, 10, "other requests are served")
+
+
 def quarantine_outlives_restarts(fleet):
     """A quarantined request stays so while replicas and then all nodes restart."""
     set_up_crashing_request(fleet)
@@ -709,32 +721,104 @@
             time.sleep(0.3)
         return sum(run_count(fleet, request) for request in ids)
 
-    def restart(nodes):
-        for node in nodes:
-            node.kill()
-        for node in nodes:
-            node.write_settings(first_start=False)
-            node.start()
-        wait_for(lambda: fleet.voters() == 5, 20, "all replicas are voters")
-        wait_for(lambda: all(router.ready() for router in fleet.routers), 10, "routers are ready")
-        wait_for(lambda: fleet.send_request("/read/1")[0] == 200, 10, "other requests are served")
-
     send(8)
     time.sleep(1)  # until every replica has stored it
     assert send(4) == 0, "the request is not quarantined"
     for replica in fleet.replicas:
-        restart([replica])
+        restart_nodes(fleet, [replica])
         assert send(2) == 0, f"the request reaches endpoints after the restart of {replica.name}"
-    restart(fleet.routers)
+    restart_nodes(fleet, fleet.routers)
     assert send(4) == 0, "the request reaches endpoints after the restart of the routers"
-    restart(fleet.replicas + fleet.routers)
+    restart_nodes(fleet, fleet.replicas + fleet.routers)
     assert send(4) == 0, "the request reaches endpoints after the restart of all nodes"
 
 
+def part_that_crashes_engines(fleet):
+    """Engines crash under requests of which no two are alike but for one part of their prompts.
+    The part is quarantined; requests that share the other parts and the caller are served."""
+    contact = 3.0  # contactMs of the users' sites
+    set_up_endpoints(fleet)
+    crashes = []  # when engines crashed
+
+    def crash_under_part(handler, endpoint):
+        time.sleep(0.05)
+        if "dead:" not in handler.headers.get("X-Prefix-Hash", ""):
+            return False
+        if not endpoint.crashed:
+            crashes.append(time.monotonic())
+            endpoint.crash()
+            threading.Timer(0.5, add_engine).start()
+        endpoint.reset_connection(handler)
+        return True
+
+    def add_engine():
+        engine = fleet.add_endpoint(f"engine-{len(fleet.endpoints)}", "engines", slots=16)
+        engine.on_request = crash_under_part
+
+    for endpoint in fleet.endpoints[2:]:
+        endpoint.on_request = crash_under_part
+    for _ in range(6):
+        add_engine()
+    fleet.wait_for_endpoints()
+    served = []  # time and whether a sound request was answered
+    stop = threading.Event()
+
+    def send(part, number, router):
+        try:
+            status, headers, _ = fleet.send_request(
+                f"/stream/once/{number}", "POST", b"{}", router=router, timeout=3, X_Model="m",
+                X_Token_Usage="40,5", X_Prefix_Hash=f"f1:20,{part}:10,{number:x}:10")
+            return status, headers["id"]
+        except (OSError, http.client.HTTPException):
+            return 0, ""
+
+    def send_sound(router):
+        number = 0
+        while not stop.is_set():
+            number += 1
+            status, _ = send(f"a{number % 7}", number, router)
+            served.append((time.monotonic(), status == 200))
+            time.sleep(0.03)
+
+    senders = [threading.Thread(target=send_sound, args=(i % 2,)) for i in range(4)]
+    for sender in senders:
+        sender.start()
+    time.sleep(1)
+    deadly = []
+    end = time.monotonic() + 14
+    while time.monotonic() < end:
+        deadly.append((time.monotonic(), send("dead", len(deadly), len(deadly) % 2)))
+        time.sleep(0.2)
+    stop.set()
+    for sender in senders:
+        sender.join()
+    assert len(crashes) >= 3, crashes
+    known = crashes[min(len(crashes), 5) - 1]
+
+    def reached(requests):
+        return sum(any(request == item[0] for endpoint in fleet.endpoints
+                       for item in endpoint.received) for _, (_, request) in requests)
+
+    late = [item for item in deadly if item[0] > known + contact]
+    assert len(late) > 10 and reached(late) == 0, \
+        f"{reached(late)} of {len(late)} reach engines, {len(crashes)} crashes"
+    assert deadly[-1][1][0] == 503
+    later = [ok for at, ok in served if at > known + 2 * contact]
+    assert len(later) > 50 and sum(later) > len(later) / 2, f"{sum(later)} of {len(later)} served"
+    restart_nodes(fleet, fleet.replicas + fleet.routers)
+    after = [(0, send("dead", 1000 + number, number % 2)) for number in range(6)]
+    assert reached(after) == 0, "the part reaches engines after the restart of all nodes"
+    suspects = fleet.leader_status()["suspects"]
+    assert [item["quarantined"] for item in suspects] == [True], suspects
+    fleet.ctl(fleet.replicas[0], "release", suspects[0]["fingerprint"])
+    wait_for(lambda: reached([(0, send("dead", 2000 + len(crashes), 0))]) == 1, 5,
+             "the quarantine is lifted")
+
+
 CASES = {name: case for name, case in list(globals().items())
          if callable(case) and getattr(case, "__module__", "") == "__main__"
-         and name not in ("set_up_endpoints", "set_up_crashing_request", "run_count", "event_ids", "many_routes",
-                          "sent_bytes")}
+         and name not in ("set_up_endpoints", "set_up_crashing_request", "restart_nodes",
+                          "run_count", "event_ids", "many_routes", "sent_bytes")}
 
 
 if __name__ == "__main__":
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -140,8 +140,7 @@
             router = rng.randrange(len(self.fleet.routers))
             method = "GET" if kind == "read" else "POST"
             with self.lock:
-                self.fleet.request_count += 1
-                request = f"soak-{self.fleet.request_count}"
+                request = f"soak-{next(self.fleet.request_numbers)}"
             try:
                 status, headers, body = self.send_request(kind, method, router, request)
             except http.client.IncompleteRead:
