Test answers with neither a length nor chunks

It covers a whole plain answer, a whole stream, streams that end at four places inside an event, and one that ends before its first event (502, run once). reported.reset_without_length covers the reset.

--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -282,6 +282,49 @@
         assert b"id: 99" not in truncated.partial
 
 
+def unframed_answers(fleet):
+    """Answers with neither a length nor chunks end with their connection. A stream that ends
+    inside an event was broken off."""
+    set_up_endpoints(fleet)
+
+    def unframed(body):
+        def on_request(handler, endpoint):
+            endpoint.runs.append(handler.headers["X-Attempt-Id"])
+            handler.close_connection = True
+            handler.send_response(200)
+            handler.send_header("X-Attempt-Id", handler.headers["X-Attempt-Id"])
+            handler.send_header("X-Server-Signature", "sig-" + endpoint.name)
+            handler.end_headers()
+            for part in body:
+                handler.wfile.write(part)
+                handler.wfile.flush()
+                time.sleep(0.05)
+            return True
+        return on_request
+
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = unframed([b"one ", b"whole ", b"answer"])
+    status, _, body = fleet.send_request("/read/1")
+    assert (status, body) == (200, b"one whole answer"), (status, body)
+    events = [f"id: {i}\ndata: token {i}\n\n".encode() for i in (1, 2, 3)]
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = unframed(events)
+    status, _, body = fleet.send_request("/stream/once/1", "POST", b"{}")
+    assert (status, body) == (200, b"".join(events)), (status, body)
+    for last in (b"id: 4", b"id: 4\n", b"id: 4\ndata: tok", b"id: 4\ndata: token 4\n"):
+        for endpoint in fleet.endpoints:
+            endpoint.on_request = unframed(events + [last])
+        try:
+            body = fleet.send_request("/stream/once/1", "POST", b"{}")[2]
+            raise AssertionError(f"a stream that ends with {last} looks whole: {body}")
+        except http.client.IncompleteRead as cut:
+            assert b"id: 4" not in cut.partial, cut.partial
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = unframed([])  # ends before its first event
+    status, headers, _ = fleet.send_request("/stream/once/1", "POST", b"{}")
+    assert status == 502 and run_count(fleet, headers["id"]) == 1, status
+
+
 def not_run(fleet):
     set_up_endpoints(fleet)
 
