Void orders that their senders have given up

Cause: an order to take a data centre out or in has no version, and a replica carried it out whenever it read it. A replica that stood still kept a DELETE in its socket; the sender gave up after a second, had it acknowledged elsewhere and sent a newer evacuation, which the old DELETE undid afterwards. Class: an order outlives its sender and is applied after a newer acknowledged one. Also found: the departure of an endpoint that is back under its id ended its next start. Route documents carry a version and heartbeats a start and a sequence; both stay in order. Change, three things, as each leaves a gap: (1) an order whose sender has closed is not begun, asked of the socket, as the event may still wait; (2) nor is one that is read within a second after a pause of 0.7 s (base/pausewatch): its sender may have left without a packet; (3) an order takes effect only if no other one for its data centre was accepted since it came: the command carries the number of accepted orders that the replica knew, which a delayed forward, a frozen replica or an entry that is committed later no longer matches. An order that met a concurrent one is tried again while its sender waits. A departure is passed on with its incarnation. Weighed: (3) with a number asked of the leader first costs a round trip and orders nothing that waited in the socket; a limit on the age of an order needs a time of arrival that sockets don't tell. Left: an order whose bytes are late on the network and whose sender's close is later still. A replica of an older version ignores the number and applies such a command: replicas of one group should be of one version while data centres are taken out.

--- a/base/testing/base_test.cc
+++ b/base/testing/base_test.cc
@@ -2,6 +2,7 @@
 
 #include "base/compress.h"
 #include "base/log.h"
+#include "base/pausewatch.h"
 
 namespace bamboogap {
 namespace {
@@ -45,5 +46,24 @@
     CHECK(buffer.add("x", false, 8));
 }
 
+TEST_CASE("messages that are read after a pause may have waited through it")
+{
+    PauseWatch pauses;
+    Instant now { std::chrono::seconds(1000) };
+    CHECK_FALSE(pauses.isAfterPause(now)); // the process has just started
+    for (int i = 0; i < 10; ++i) {
+        pauses.tick(now);
+        now += PauseWatch::kTick;
+    }
+    CHECK_FALSE(pauses.isAfterPause(now));
+    now += std::chrono::seconds(2);
+    CHECK(pauses.isAfterPause(now)); // read before the next tick
+    pauses.tick(now);
+    CHECK(pauses.isAfterPause(now + PauseWatch::kTick));
+    for (Instant end = now + PauseWatch::kAftermath; now < end; now += PauseWatch::kTick)
+        pauses.tick(now);
+    CHECK_FALSE(pauses.isAfterPause(now));
+}
+
 } // namespace
 } // namespace bamboogap
--- a/control/deployment.h
+++ b/control/deployment.h
@@ -10,6 +10,8 @@
 #define BAMBOOGAP_CONTROL_DEPLOYMENT_H
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,9 +29,13 @@
     // Installs a compressed document. Returns false, and changes nothing, if the installed
     // version is the same or higher.
     bool install(uint64_t version, std::string_view document);
-    // Takes a data centre out of service or puts it back. Returns false if it was already in
-    // that state.
-    bool setOutOfService(std::string_view dataCentre, bool outOfService);
+    // Takes a data centre out of service or puts it back. `base` is the number of orders for the
+    // data centre that had been accepted when this one was received: false, and no effect, if
+    // another one was accepted since. Without it the order is accepted at any time.
+    bool setOutOfService(std::string_view dataCentre, bool outOfService,
+                         std::optional<uint64_t> base = std::nullopt);
+    // Number of orders that were accepted for the data centre, also those without an effect.
+    uint64_t outageOrders(std::string_view dataCentre) const;
 
     // Increases with every change of the document or of the data centres.
     uint64_t revision() const { return revision_; }
@@ -48,6 +54,7 @@
     uint64_t version_ = 0;
     std::string document_;
     std::set<std::string> dataCentresOut_;
+    std::map<std::string, uint64_t, std::less<>> outageOrders_; // by data centre
 };
 
 } // namespace bamboogap
--- a/control/state.cc
+++ b/control/state.cc
@@ -110,7 +110,12 @@
 
 json commandToJson(const SetOutageCommand &command)
 {
-    return { { "op", "outage" }, { "name", command.dataCentre }, { "out", command.outOfService } };
+    json value { { "op", "outage" },
+                 { "name", command.dataCentre },
+                 { "out", command.outOfService } };
+    if (command.base)
+        value["base"] = *command.base;
+    return value;
 }
 
 Result<Command> commandFromJson(const json &value)
@@ -167,8 +172,11 @@
                                       std::string(document.begin(), document.end()) };
     }
     if (op == "outage") {
-        return SetOutageCommand { value.at("name").get<std::string>(),
-                                  value.at("out").get<bool>() };
+        SetOutageCommand command { value.at("name").get<std::string>(), value.at("out").get<bool>(),
+                                   std::nullopt };
+        if (value.contains("base"))
+            command.base = value.at("base").get<uint64_t>();
+        return command;
     }
     return failure(ErrorKind::StorageDamaged, fmt::format("unknown command '{}' in the log", op),
                    "run the version that wrote the log, or a newer one");
@@ -283,7 +291,8 @@
 
 CommandAnswer ControlState::perform(const SetOutageCommand &command)
 {
-    return AppliedAnswer { deployment_.setOutOfService(command.dataCentre, command.outOfService) };
+    return AppliedAnswer { deployment_.setOutOfService(command.dataCentre, command.outOfService,
+                                                       command.base) };
 }
 
 std::string ControlState::save() const
--- a/control/state.h
+++ b/control/state.h
@@ -7,6 +7,7 @@
 #ifndef BAMBOOGAP_CONTROL_STATE_H
 #define BAMBOOGAP_CONTROL_STATE_H
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -96,11 +97,13 @@
     std::string document; // compressed, see base/compress.h
 };
 
-// Takes a data centre out of service for direct routers, or puts it back into service.
+// Takes a data centre out of service for direct routers, or puts it back into service; applied is
+// false if another order for it was accepted since `base`, see Deployment::setOutOfService().
 struct SetOutageCommand
 {
     std::string dataCentre;
     bool outOfService = false;
+    std::optional<uint64_t> base;
 };
 
 using Command
--- a/fleet/roster.cc
+++ b/fleet/roster.cc
@@ -129,6 +129,12 @@
     entry.changedAt = ++version_;
 }
 
+std::optional<EndpointRecord> ReplicaRoster::find(std::string_view id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? std::nullopt : std::optional(found->second.record);
+}
+
 bool ReplicaRoster::markLeaving(std::string_view id, int64_t startMillis)
 {
     const auto found = entries_.find(id);
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -100,6 +101,7 @@
     uint64_t epoch() const { return epoch_; }
     uint64_t version() const { return version_; }
     size_t size() const { return entries_.size(); }
+    std::optional<EndpointRecord> find(std::string_view id) const;
 
 private:
     struct Entry;
--- a/node/endpointpool.cc
+++ b/node/endpointpool.cc
@@ -34,14 +34,6 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedMillis, sizeof kUnackedMillis);
 }
 
-bool isEstablished(evutil_socket_t socket)
-{
-    tcp_info info {};
-    socklen_t size = sizeof info;
-    return socket >= 0 && getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
-            && info.tcpi_state == TCP_ESTABLISHED;
-}
-
 } // namespace
 
 struct EndpointPool::Connection
--- a/node/eventloop.cc
+++ b/node/eventloop.cc
@@ -432,4 +432,12 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+bool isEstablished(evutil_socket_t socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    return socket >= 0 && getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+            && info.tcpi_state == TCP_ESTABLISHED;
+}
+
 } // namespace bamboogap
--- a/node/eventloop.h
+++ b/node/eventloop.h
@@ -92,6 +92,10 @@
 
 void setNoDelay(evutil_socket_t socket);
 
+// Whether a TCP connection stands in both directions: false while connecting, and once either side
+// has closed or reset it.
+bool isEstablished(evutil_socket_t socket);
+
 } // namespace bamboogap
 
 #endif
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -455,6 +455,16 @@
     evhttp_connection_free(connection);
 }
 
+// Asks the socket: the event of the close may still wait in the loop.
+bool HttpServer::hasCallerLeft(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange || exchange->gone || !exchange->request)
+        return true;
+    evhttp_connection *connection = evhttp_request_get_connection(exchange->request);
+    return !isEstablished(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
+}
+
 void HttpServer::onClosed(ExchangeId id, std::function<void()> hook)
 {
     Exchange *exchange = find(id);
--- a/node/httpserver.h
+++ b/node/httpserver.h
@@ -84,6 +84,8 @@
     // Ends a stream so that the caller sees that it is not whole.
     void breakStream(ExchangeId id);
 
+    // Whether the caller has closed its side already, as far as its packets tell.
+    bool hasCallerLeft(ExchangeId id);
     // The hook is called once if the caller goes before it was answered.
     void onClosed(ExchangeId id, std::function<void()> hook);
 
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -22,6 +22,8 @@
 // Other replicas answer within a few crossings; an endpoint gives up after a second.
 constexpr Duration kDepartureLimit = std::chrono::milliseconds(400);
 constexpr Duration kTick = std::chrono::milliseconds(500);
+// A replica in touch applies what the leader has committed within this.
+constexpr Duration kCatchUp = std::chrono::milliseconds(150);
 // Between two lines on the bytes sent.
 constexpr Duration kReportTraffic = std::chrono::seconds(1);
 // Between two sums of a group's work to the other replicas, and the limit of one.
@@ -81,6 +83,12 @@
                    "send it to another replica, or again in a second");
 }
 
+tl::unexpected<Error> superseded()
+{
+    return failure(ErrorKind::NoLeader, "another order was accepted since this one came",
+                   "send the order again if it is still wanted");
+}
+
 template<typename Results> size_t sizeOf(const Results &results)
 {
     return results.asReader().totalSize().wordCount * sizeof(capnp::word);
@@ -219,6 +227,7 @@
                         [this](Duration age) { traffic_.roundAcknowledged(age); },
                         [this] { noteDeployment(); } });
     noteDeployment();
+    loop_.every(PauseWatch::kTick, [this] { pauses_.tick(BootClock::now()); });
     loop_.every(kReportTraffic, [this] { traffic_.report(); });
     loop_.every(kShareGroup, [this] { shareGroup(); });
     loop_.every(kShareRoster, [this] { shareRoster(); });
@@ -632,7 +641,22 @@
         replyError(exchange, order.error());
         return;
     }
-    std::visit([&](const auto &kind) { perform(exchange, kind, request); }, *order);
+    if (std::holds_alternative<ReadRoutesOrder>(*order) || !refuseAbandoned(exchange, request))
+        std::visit([&](const auto &kind) { perform(exchange, kind, request); }, *order);
+}
+
+bool ReplicaFront::refuseAbandoned(ExchangeId exchange, const HttpRequest &request)
+{
+    const bool left = server_->hasCallerLeft(exchange);
+    if (!left && !pauses_.isAfterPause(BootClock::now()))
+        return false;
+    const std::string reason = left ? "its sender has closed the connection"
+                                    : "it may have waited while this process was paused";
+    logEvent(LogLevel::Warning, "order_abandoned",
+             { { "method", request.method }, { "path", request.path }, { "reason", reason } });
+    replyError(exchange,
+               { ErrorKind::NoLeader, "the order was not begun: " + reason, "send it again" });
+    return true;
 }
 
 // Routers in touch reach every replica that is in touch with the majority; one that
@@ -746,19 +770,26 @@
         reply(exchange, 200, "{}");
 }
 
+// The other replicas are told which incarnation has left, if it is known: they may hear of the next
+// one before they hear of this departure.
 void ReplicaFront::perform(ExchangeId exchange, const LeaveOrder &order, const HttpRequest &)
 {
     const int64_t wallMillis = wallClockMillis();
+    std::vector<EndpointRecord> left;
+    if (auto known = roster_.find(order.endpointId))
+        left.push_back(std::move(*known));
     roster_.leave(order.endpointId, wallMillis, BootClock::now());
+    for (EndpointRecord &record : left)
+        record.state = EndpointState::Gone;
     logEvent(LogLevel::Info, "endpoint_left", { { "endpoint", order.endpointId } });
-    answerDeparture(exchange, order.endpointId, {}, wallMillis);
+    answerDeparture(exchange, order.endpointId, left, wallMillis);
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const InstallRoutesOrder &order,
                            const HttpRequest &request)
 {
     answerCommit(exchange, fmt::format("routes {}", order.version),
-                 InstallRoutesCommand { order.version, compress(request.body) });
+                 commit(InstallRoutesCommand { order.version, compress(request.body) }));
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const ReadRoutesOrder &, const HttpRequest &)
@@ -791,13 +822,38 @@
 void ReplicaFront::perform(ExchangeId exchange, const OutageOrder &order, const HttpRequest &)
 {
     answerCommit(exchange, fmt::format("{} {}", order.out ? "out" : "in", order.dataCentre),
-                 SetOutageCommand { order.dataCentre, order.out });
-}
-
-void ReplicaFront::answerCommit(ExchangeId exchange, std::string what, Command command)
+                 commitOutage(exchange, order, BootClock::now() + kLeaderLimit));
+}
+
+// The order has no version: it takes effect only if no other one for the data centre was accepted
+// since it was received. An order that is delayed on its way to the leader, or whose sender has
+// given up and sent others, is then void. One that met a concurrent order, or was received before
+// this replica knew of the last one, is tried again while its sender waits.
+kj::Promise<Result<AppliedAnswer>> ReplicaFront::commitOutage(ExchangeId exchange,
+                                                              OutageOrder order, Instant giveUpAt)
+{
+    const uint64_t base = control_.deployment().outageOrders(order.dataCentre);
+    return commit(SetOutageCommand { order.dataCentre, order.out, base })
+            .then([=, this](Result<AppliedAnswer> answer) {
+                using Answer = kj::Promise<Result<AppliedAnswer>>;
+                if (!answer || answer->applied)
+                    return Answer(std::move(answer));
+                const Instant again = BootClock::now() + kCatchUp;
+                if (again >= giveUpAt || server_->hasCallerLeft(exchange))
+                    return Answer(Result<AppliedAnswer>(superseded()));
+                return loop_.sleep(kCatchUp).then([=, this]() {
+                    if (server_->hasCallerLeft(exchange) || pauses_.isAfterPause(BootClock::now()))
+                        return Answer(Result<AppliedAnswer>(superseded()));
+                    return commitOutage(exchange, order, giveUpAt);
+                });
+            });
+}
+
+void ReplicaFront::answerCommit(ExchangeId exchange, std::string what,
+                                kj::Promise<Result<AppliedAnswer>> committing)
 {
     const Instant began = BootClock::now();
-    loop_.detach(commit(std::move(command)).then([=, this](Result<void> committed) {
+    loop_.detach(committing.then([=, this](Result<AppliedAnswer> committed) {
         logEvent(committed ? LogLevel::Info : LogLevel::Warning, "order",
                  { { "order", what },
                    { "outcome", committed ? "committed" : "unknown" },
@@ -815,9 +871,9 @@
                  "order");
 }
 
-kj::Promise<Result<void>> ReplicaFront::commit(Command command)
+kj::Promise<Result<AppliedAnswer>> ReplicaFront::commit(Command command)
 {
-    const auto failed = [](kj::Exception &&problem) -> Result<void> {
+    const auto failed = [](kj::Exception &&problem) -> Result<AppliedAnswer> {
         return failure(
                 ErrorKind::NoLeader,
                 fmt::format("the leader did not answer: {}", problem.getDescription().cStr()),
@@ -826,25 +882,29 @@
     if (control_.maySpeak()) {
         return loop_.within(kLeaderLimit, control_.command(command))
                 .then(
-                        [](Result<CommandAnswer> answer) -> Result<void> {
+                        [](Result<CommandAnswer> answer) -> Result<AppliedAnswer> {
                             if (!answer)
                                 return tl::unexpected(answer.error());
-                            return {};
+                            return std::get<AppliedAnswer>(*answer);
                         },
                         failed);
     }
     const std::string leader = control_.leaderAddress();
     if (leader.empty() || leader == settings_.address)
-        return Result<void>(noLeader());
+        return Result<AppliedAnswer>(noLeader());
     auto request = peers_.node(leader, Lane::Requests).commandRequest();
     const std::string encoded = encodeCommand(command);
     request.setCommand(toData(encoded));
     return loop_.within(kLeaderLimit, request.send())
             .then(
-                    [](auto &&response) -> Result<void> {
+                    [](auto &&response) -> Result<AppliedAnswer> {
                         if (!response.getAnswered())
                             return noLeader();
-                        return {};
+                        auto answer = parseCommandAnswer(toView(response.getAnswer()));
+                        if (!answer)
+                            return tl::unexpected(answer.error());
+                        const auto *applied = std::get_if<AppliedAnswer>(&*answer);
+                        return applied ? *applied : AppliedAnswer {};
                     },
                     failed);
 }
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -7,6 +7,7 @@
 
 #include <map>
 
+#include "base/pausewatch.h"
 #include "control/documentpiece.h"
 #include "control/partsuspects.h"
 #include "control/suspects.h"
@@ -59,7 +60,7 @@
     // What another replica has heard of endpoints.
     void noteRoster(std::string_view replica, const RosterChanges &changes);
     // Lifts a quarantine for the whole fleet. NoLeader if that could not be committed.
-    kj::Promise<Result<void>> liftQuarantine(Fingerprint fingerprint)
+    kj::Promise<Result<AppliedAnswer>> liftQuarantine(Fingerprint fingerprint)
     {
         return commit(ClearSuspectCommand { fingerprint, true });
     }
@@ -74,15 +75,22 @@
     void perform(ExchangeId exchange, const ReadRoutesOrder &order, const HttpRequest &request);
     void perform(ExchangeId exchange, const OutageOrder &order, const HttpRequest &request);
 
-    // Commits a command through the leader, wherever it is.
-    kj::Promise<Result<void>> commit(Command command);
+    // Refuses an order that its sender has given up, or may have. Such an order must not take
+    // effect: the sender may have sent others since.
+    bool refuseAbandoned(ExchangeId exchange, const HttpRequest &request);
+    // Commits a command through the leader, wherever it is. The answer tells whether it was
+    // applied.
+    kj::Promise<Result<AppliedAnswer>> commit(Command command);
+    kj::Promise<Result<AppliedAnswer>> commitOutage(ExchangeId exchange, OutageOrder order,
+                                                    Instant giveUpAt);
     struct Document
     {
         uint64_t version = 0;
         std::string text;
     };
     kj::Promise<Result<Document>> newestDocument();
-    void answerCommit(ExchangeId exchange, std::string what, Command command);
+    void answerCommit(ExchangeId exchange, std::string what,
+                      kj::Promise<Result<AppliedAnswer>> committed);
     void reply(ExchangeId exchange, int status, std::string body);
     void replyError(ExchangeId exchange, const Error &error);
     // Acknowledges a departure once a majority of the replicas holds it.
@@ -114,6 +122,7 @@
     Settings settings_;
     Metrics &metrics_;
     TrafficMeter traffic_;
+    PauseWatch pauses_;
     HttpServer *server_ = nullptr;
     ReplicaRoster roster_;
     RouterTable routers_;
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -110,6 +110,7 @@
         self.data_centre = data_centre
         self.slots = slots
         self.sequence = 0
+        self.born = 0  # milliseconds since the epoch; 0: not told
         self.state = "ready"
         self.on_request = None
         self.runs = []  # ids of the requests that were executed
@@ -210,10 +211,14 @@
 
     def next_heartbeat(self):
         self.sequence += 1
-        return {"service": self.service, "address": f"127.0.0.1:{self.announced_port()}",
-                "zone": self.data_centre, "version": "v1", "batchSlots": self.slots,
-                "state": self.state, "warmupLeftMs": 0, "phase": "hybrid",
-                "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.sequence}
+        heartbeat = {"service": self.service, "address": f"127.0.0.1:{self.announced_port()}",
+                     "zone": self.data_centre, "version": "v1", "batchSlots": self.slots,
+                     "state": self.state, "warmupLeftMs": 0, "phase": "hybrid",
+                     "models": [{"name": "m", "version": 1, "adapters": []}],
+                     "seq": self.sequence}
+        if self.born:
+            heartbeat["born"] = self.born
+        return heartbeat
 
     def send_heartbeat(self):
         """Sends a heartbeat to the first replica that acknowledges it."""
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -9,6 +9,7 @@
 import random
 import resource
 import signal
+import socket
 import string
 import subprocess
 import threading
@@ -465,6 +466,79 @@
              "endpoints of the data centre serve again")
 
 
+def send_and_hold(node, method, path):
+    """Sends a control request and returns its connection without reading the response."""
+    connection = socket.create_connection(node.address("control"), timeout=2)
+    connection.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    return connection
+
+
+def leader_name(fleet):
+    return next(item["name"] for item in fleet.leader_status()["replicas"] if item["leads"])
+
+
+def abandoned_orders(fleet):
+    """A paused replica holds orders that their senders have given up. They do not undo newer
+    orders once it goes on."""
+    fleet.add_endpoint("plain-c", "plain", data_centre="dc2")
+    set_up_endpoints(fleet)
+
+    def answered(node, method, path):
+        try:
+            return call(node.address("control"), method, path, timeout=2)[0] == 200
+        except OSError:
+            return False
+
+    def in_service(router):
+        return "dc1" not in router.status()["data_centres_out"]
+
+    path = "/v1/evacuations/dc1"
+    for hangs_up in (True, True, False, False):
+        leads = leader_name(fleet)
+        others = [node for node in fleet.replicas if node.name != leads]
+        paused = others.pop()
+        assert fleet.control("POST", path)[0] == 200
+        paused.send(signal.SIGSTOP)
+        connection = send_and_hold(paused, "DELETE", path)
+        time.sleep(1.0)
+        if hangs_up:
+            connection.close()
+        assert any(answered(node, "DELETE", path) for node in others)
+        assert any(answered(node, "POST", path) for node in others)
+        paused.send(signal.SIGCONT)
+        time.sleep(0.5)  # it reads what has waited
+        wait_for(lambda: not any(in_service(router) for router in fleet.routers), 4.5,
+                 "the newer evacuation is in force")
+        time.sleep(1)
+        assert not any(in_service(router) for router in fleet.routers), \
+            "an abandoned order took back a newer evacuation"
+        connection.close()
+        assert fleet.control("DELETE", path)[0] == 200
+
+
+def abandoned_departure(fleet):
+    """A paused replica holds the departure, given up by its sender, of an endpoint that is back
+    under its id once the replica goes on."""
+    set_up_endpoints(fleet)
+    endpoint = fleet.endpoints[0]
+    endpoint.born = int(time.time() * 1000)
+    wait_for(lambda: endpoint.send_heartbeat()[0] == 200, 5, "the endpoint is heard")
+    leads = leader_name(fleet)
+    paused = next(node for node in fleet.replicas if node.name != leads)
+    paused.send(signal.SIGSTOP)
+    connection = send_and_hold(paused, "DELETE", "/v1/instances/" + endpoint.name)
+    time.sleep(1.0)
+    connection.close()
+    endpoint.born = int(time.time() * 1000)
+    endpoint.sequence = 0
+    time.sleep(1.0)  # heartbeats of the new start
+    paused.send(signal.SIGCONT)
+    time.sleep(1.5)
+    for router in fleet.routers:
+        usable = {item["id"] for item in router.status()["endpoints"] if item["usable"]}
+        assert endpoint.name in usable, "an abandoned departure ended the endpoint's next start"
+
+
 def control_lost(fleet):
     set_up_endpoints(fleet)
     for node in fleet.replicas:
@@ -861,6 +935,7 @@
 CASES = {name: case for name, case in list(globals().items())
          if callable(case) and getattr(case, "__module__", "") == "__main__"
          and name not in ("set_up_endpoints", "set_up_crashing_request", "restart_nodes",
+                          "send_and_hold", "leader_name",
                           "run_count", "event_ids", "many_routes", "sent_bytes")}
 
 
