Close a connection to the leader on which calls are not answered

Cause, read from that record: there was a leader all the time, since the term stayed, commit advanced, and both lines name it (from=, leader=); 850 ms is the limit of a call to it, whose time-out was reported as "no leader is known". Calls to the leader share a kept connection that nobody closed when it gave no answer: one that was lost without a word (a power loss, a cut) stays until TCP gives up. Raft messages and routers' reports, which go over another one, do close it. So nobody stood for election, and rightly. Class: a kept connection is trusted although calls on it time out. Looked for elsewhere: reports of routers, raft, joins and fetches of documents drop theirs; the sums, rosters and departures between replicas share raft's. Change: Peers::answerWithin() closes the connection of a call that timed out, unless it was replaced since; calls to the leader use it; a read's refusal names the leader and the problem. Not shown: that the users' case had this cause; their record names no lost connection.

--- a/node/peers.cc
+++ b/node/peers.cc
@@ -218,6 +218,24 @@
     connections_.erase(found);
 }
 
+std::function<void(const kj::Exception &)> Peers::dropOnTimeout(const std::string &address,
+                                                                Lane lane)
+{
+    const auto used = connections_.find({ address, lane });
+    if (used == connections_.end())
+        return [](const kj::Exception &) {};
+    const std::weak_ptr<Connection> connection = used->second;
+    return [this, address, lane, connection](const kj::Exception &problem) {
+        const auto current = connections_.find({ address, lane });
+        if (problem.getType() != kj::Exception::Type::OVERLOADED || current == connections_.end()
+            || current->second != connection.lock())
+            return;
+        logEvent(LogLevel::Warning, "peer_dropped",
+                 { { "peer", address }, { "reason", "it did not answer in time" } });
+        drop(address, lane);
+    };
+}
+
 Result<std::unique_ptr<PeerServer>> PeerServer::listen(EventLoop &loop,
                                                        const SocketAddress &address,
                                                        std::string key, wire::Node::Client node)
--- a/node/peers.h
+++ b/node/peers.h
@@ -7,6 +7,7 @@
 #ifndef BAMBOOGAP_NODE_PEERS_H
 #define BAMBOOGAP_NODE_PEERS_H
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -32,6 +33,21 @@
     // was sent to it.
     kj::Promise<void> ready(const std::string &address, Lane lane);
 
+    // The answer of a call that was just sent to the peer, rejected if it takes longer. Then the
+    // connection is closed, so that the next call makes another one: the peer may have lost it
+    // without a word, and TCP notices that late.
+    template<typename T>
+    kj::Promise<T> answerWithin(Duration limit, const std::string &address, Lane lane,
+                                kj::Promise<T> answer)
+    {
+        return loop_.within(limit, kj::mv(answer))
+                .catch_([drop = dropOnTimeout(address, lane)](
+                                kj::Exception &&problem) -> kj::Promise<T> {
+                    drop(problem);
+                    return kj::mv(problem);
+                });
+    }
+
     // Calls to this address stay within the process.
     void setSelf(std::string address, wire::Node::Client node);
 
@@ -40,6 +56,9 @@
 
 private:
     struct Connection;
+    // Drops the connection that stands or is made now.
+    std::function<void(const kj::Exception &)> dropOnTimeout(const std::string &address, Lane lane);
+
     using Place = std::pair<std::string, Lane>;
 
     EventLoop &loop_;
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -895,7 +895,7 @@
     auto request = peers_.node(leader, Lane::Requests).commandRequest();
     const std::string encoded = encodeCommand(command);
     request.setCommand(toData(encoded));
-    return loop_.within(kLeaderLimit, request.send())
+    return peers_.answerWithin(kLeaderLimit, leader, Lane::Requests, request.send())
             .then(
                     [](auto &&response) -> Result<AppliedAnswer> {
                         if (!response.getAnswered())
@@ -927,14 +927,19 @@
     if (leader.empty() || leader == settings_.address)
         return Result<Document>(noLeader());
     auto request = peers_.node(leader, Lane::Requests).newestRoutesRequest();
-    return loop_.within(kLeaderLimit, request.send())
+    return peers_.answerWithin(kLeaderLimit, leader, Lane::Requests, request.send())
             .then(
                     [documentOf](auto &&response) -> Result<Document> {
                         if (!response.getAnswered())
                             return noLeader();
                         return documentOf(response.getVersion(), toView(response.getDocument()));
                     },
-                    [](kj::Exception &&) -> Result<Document> { return noLeader(); });
+                    [leader](kj::Exception &&problem) -> Result<Document> {
+                        return failure(ErrorKind::NoLeader,
+                                       fmt::format("the leader {} did not answer: {}", leader,
+                                                   problem.getDescription().cStr()),
+                                       "read it from another replica, or again in a second");
+                    });
 }
 
 void ReplicaFront::reply(ExchangeId exchange, int status, std::string body)
