Give a router without an earlier process its whole share of retries

Change: replicas tell a router whether an earlier process of it may have run: they know of one, or they are young themselves, unless the whole fleet starts for the first time with nothing to recall, in which case they also count sharers at once. A router that is the first process of its name skips the first-window share. The slack is used to 0.8 again, since a new process uses none of it; the ratio stays at 0.65 and 0.25.

--- a/fleet/routertable.cc
+++ b/fleet/routertable.cc
@@ -93,11 +93,14 @@
     Entry &entry = routers_[report.name];
     if (report.incarnation < entry.report.incarnation)
         return false;
+    if (report.incarnation > entry.report.incarnation && entry.lastSeen != Instant {})
+        restarted_.insert(report.name);
     if (report.peerAddress.empty())
         report.peerAddress = std::move(entry.report.peerAddress);
     entry.report = std::move(report);
     entry.lastSeen = now;
-    left_.erase(entry.report.name);
+    if (left_.erase(entry.report.name) > 0)
+        restarted_.insert(entry.report.name);
     return true;
 }
 
@@ -110,9 +113,10 @@
     left_[std::string(name)] = now;
 }
 
-void RouterTable::recall(uint32_t routers, Instant now)
+void RouterTable::recall(uint32_t routers, bool firstStart, Instant now)
 {
     recalled_ = routers;
+    firstStart_ = firstStart && routers == 0;
     startedAt_ = now;
 }
 
@@ -120,6 +124,7 @@
 {
     std::erase_if(routers_,
                   [now](const auto &item) { return now - item.second.lastSeen > kRetention; });
+    std::erase_if(restarted_, [this](const auto &name) { return routers_.count(name) == 0; });
     std::erase_if(left_, [now](const auto &item) { return now - item.second > kRetention; });
 }
 
@@ -140,12 +145,18 @@
 uint32_t RouterTable::sharerCount(Instant now) const
 {
     const Duration up = now - startedAt_;
-    if (up < aliveTimeout())
+    if (up < aliveTimeout() && !firstStart_)
         return 0;
     const auto known = static_cast<uint32_t>(routers_.size() + left_.size());
     return up <= kRetention ? std::max(known, recalled_) : known;
 }
 
+bool RouterTable::mayHavePredecessor(std::string_view name, Instant now) const
+{
+    const bool young = now - startedAt_ <= kRetention && !firstStart_;
+    return young || restarted_.count(name) > 0;
+}
+
 std::vector<std::string> RouterTable::aliveAddresses(Instant now) const
 {
     std::vector<std::string> addresses;
--- a/fleet/routertable.h
+++ b/fleet/routertable.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -77,8 +78,9 @@
     bool report(RouterReport report, Instant now);
     // Removes a router that has shut down.
     void leave(std::string_view name, Instant now);
-    // Sets when this process of the replica started, and how many routers the one before knew.
-    void recall(uint32_t routers, Instant now);
+    // Sets when this process of the replica started, and how many routers the one before knew. If
+    // the whole fleet starts for the first time there is none before.
+    void recall(uint32_t routers, bool firstStart, Instant now);
 
     // Removes routers that have not reported for longer than any temporary disconnection lasts.
     void removeExpired(Instant now);
@@ -90,6 +92,8 @@
     // kRetention, since one that has left or is cut off from this replica may have used its share
     // a moment ago or may go on using it. 0 while this process is too young to have heard from all.
     uint32_t sharerCount(Instant now) const;
+    // Whether an earlier process of the router may have run within kRetention.
+    bool mayHavePredecessor(std::string_view name, Instant now) const;
     // Peer addresses of the routers that are alive.
     std::vector<std::string> aliveAddresses(Instant now) const;
     // Returns whether a message of `bytes` bytes with the other routers' load may be sent to the
@@ -110,7 +114,9 @@
 private:
     std::map<std::string, Entry, std::less<>> routers_;
     std::map<std::string, Instant, std::less<>> left_; // when routers shut down
+    std::set<std::string, std::less<>> restarted_; // names of routers with an earlier process
     uint32_t recalled_ = 0;
+    bool firstStart_ = false;
     Instant startedAt_ {};
 };
 
--- a/fleet/testing/roster_test.cc
+++ b/fleet/testing/roster_test.cc
@@ -266,7 +266,7 @@
 TEST_CASE("routers that left or are cut off still count as sharers of a limit")
 {
     RouterTable routers;
-    routers.recall(2, kStart);
+    routers.recall(2, false, kStart);
     const auto report = [&](Instant now) {
         for (const char *name : { "a", "b", "c" })
             routers.report({ name, 1, "dc1", 1 }, now);
@@ -286,13 +286,36 @@
 TEST_CASE("a restarted replica counts the routers that it recalls as sharers")
 {
     RouterTable routers;
-    routers.recall(6, kStart);
+    routers.recall(6, false, kStart);
     routers.report({ "a", 1, "dc1", 1 }, kStart);
     const Instant later = kStart + RouterTable::kAliveTimeout;
     CHECK(routers.sharerCount(later) == 6);
     CHECK(routers.sharerCount(kStart + RouterTable::kRetention + milliseconds(1)) == 1);
 }
 
+TEST_CASE("a replica tells whether an earlier process of a router may have run")
+{
+    RouterTable first;
+    first.recall(0, true, kStart);
+    first.report({ "a", 1, "dc1", 1 }, kStart);
+    first.report({ "b", 1, "dc1", 1 }, kStart);
+    CHECK(first.sharerCount(kStart) == 2);
+    CHECK_FALSE(first.mayHavePredecessor("a", kStart));
+    first.report({ "a", 2, "dc1", 1 }, kStart);
+    CHECK(first.mayHavePredecessor("a", kStart));
+    first.leave("b", kStart);
+    first.report({ "b", 2, "dc1", 1 }, kStart);
+    CHECK(first.mayHavePredecessor("b", kStart));
+
+    RouterTable restarted; // its disk or its settings tell of an earlier fleet
+    restarted.recall(1, true, kStart);
+    restarted.report({ "a", 1, "dc1", 1 }, kStart);
+    CHECK(restarted.mayHavePredecessor("a", kStart));
+    CHECK(restarted.sharerCount(kStart) == 0);
+    const Instant later = kStart + RouterTable::kRetention + milliseconds(1);
+    CHECK_FALSE(restarted.mayHavePredecessor("c", later));
+}
+
 TEST_CASE("the largest number of sharers that was told of late counts")
 {
     SharerCount sharers;
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -163,9 +163,9 @@
         replica_ = std::move(*replica);
         front_ = std::make_unique<ReplicaFront>(
                 loop_, peers_, *replica_, dialect_,
-                ReplicaFront::Settings { settings_.listen.peers,
-                                         settings_.coordinator.endpoints.heartbeatTimeout,
-                                         settings_.linkBytesPerSecond() },
+                ReplicaFront::Settings {
+                        settings_.listen.peers, settings_.coordinator.endpoints.heartbeatTimeout,
+                        settings_.direct.firstStart, settings_.linkBytesPerSecond() },
                 metrics_, std::move(memo));
         auto node = front_->makeServer();
         peers_.setSelf(settings_.listen.peers, node);
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -195,7 +195,9 @@
     active.fingerprint = fingerprintOf(active.request, active.caller.accessKey);
     auto retries = retries_.find(active.service);
     if (retries == retries_.end())
-        retries = retries_.emplace(active.service, RetryWindow(settings_.retries, startedAt_))
+        retries = retries_.emplace(active.service,
+                                   RetryWindow(settings_.retries,
+                                               sync_->isFirstProcess() ? Instant {} : startedAt_))
                           .first;
     retries->second.onRequest(active.arrivedAt);
     return true;
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -249,7 +249,8 @@
 {
     const Instant now = BootClock::now();
     auto memo = memoFile_.load();
-    routers_.recall(memo ? static_cast<uint32_t>(memo->routers.size()) : 0, now);
+    routers_.recall(memo ? static_cast<uint32_t>(memo->routers.size()) : 0,
+                    memo && settings_.firstStart, now);
     if (!memo) {
         logEvent(LogLevel::Warning, "fleet_not_recalled",
                  { { "problem", memo.error().message }, { "remedy", memo.error().remedy } });
@@ -413,6 +414,7 @@
     reply.setRank(routers_.rankOf(name, now));
     reply.setSharers(
             static_cast<uint16_t>(std::min<uint32_t>(routers_.sharerCount(now), UINT16_MAX)));
+    reply.setFirstProcess(!routers_.mayHavePredecessor(name, now));
     std::vector<std::string> members;
     for (const Replica &member : control_.membership().members)
         members.push_back(member.address);
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -35,6 +35,7 @@
     {
         std::string address; // where peers reach this replica
         Duration endpointSilence = std::chrono::seconds(5);
+        bool firstStart = false; // of the whole fleet
         double linkBytesPerSecond = 12.5e6;
     };
 
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -351,6 +351,7 @@
         confirmedVersion_ = std::max(confirmedVersion_, reply.getRoutesVersion());
         sharers_.onReply(reply.getSharers(), now);
     }
+    hadPredecessor_ = hadPredecessor_ || !reply.getFirstProcess();
     RosterChanges changes;
     changes.epoch = reply.getRosterEpoch();
     changes.version = reply.getRosterVersion();
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -97,6 +97,8 @@
     FleetPosition fleet() const { return fleet_; }
     // Number of routers that divide the fleet's limits; 0 if unknown.
     uint32_t sharers(Instant now) const { return sharers_.count(now); }
+    // Whether replicas in touch with a leader have said so and none has said otherwise.
+    bool isFirstProcess() const { return confirmed_ && !hadPredecessor_; }
     SuspicionStatus standingOf(Fingerprint fingerprint) const
     {
         return suspects_.statusOf(fingerprint);
@@ -181,6 +183,7 @@
     std::vector<EndpointUse> others_;
     FleetPosition fleet_;
     SharerCount sharers_;
+    bool hadPredecessor_ = false;
     SuspectLists suspects_;
     ReportLog<Crash> crashes_;
     ReportLog<Incarnation> leavingEndpoints_;
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -300,6 +300,7 @@
   placementsVersion @16 :UInt64;
   hasUses @17 :Bool;  # else the last ones hold on
   sharers @18 :UInt16;  # routers that divide the fleet's limits; 0 if unknown
+  firstProcess @19 :Bool;  # of this router, for all that the replica knows
 }
 
 interface AnswerSink {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -4582,6 +4582,8 @@
 
   inline  ::uint16_t getSharers() const;
 
+  inline bool getFirstProcess() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4693,6 +4695,9 @@
   inline  ::uint16_t getSharers();
   inline void setSharers( ::uint16_t value);
 
+  inline bool getFirstProcess();
+  inline void setFirstProcess(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12638,6 +12643,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncReply::Reader::getFirstProcess() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getFirstProcess() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setFirstProcess(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/routing/retrywindow.cc
+++ b/routing/retrywindow.cc
@@ -35,8 +35,8 @@
     }
     const double slack = routers == 0 ? 0 : settings_.slack / routers;
     const double allowed = now < firstWindowEnd_
-            ? kFirstWindowShare * settings_.ratio * requests
-            : kUsedShare * (settings_.ratio * requests + slack);
+            ? kFirstRatioShare * settings_.ratio * requests
+            : kRatioShare * settings_.ratio * requests + kSlackShare * slack;
     if (retries + 1 > allowed)
         return { false, retries, allowed };
     ++slotAt(now).retries;
--- a/routing/retrywindow.h
+++ b/routing/retrywindow.h
@@ -6,8 +6,8 @@
 //
 // The count is lost with the process. What an earlier process of the router has sent in the
 // current window is unknown then, so that a new one uses a separate, smaller share for the
-// length of a window. That share is earned by the process's own requests alone: any number of
-// restarts within a window does not raise the sum.
+// length of a window, unless it is known to be the first. That share is earned by the process's
+// own requests alone: any number of restarts within a window does not raise the sum.
 
 #ifndef BAMBOOGAP_ROUTING_RETRYWINDOW_H
 #define BAMBOOGAP_ROUTING_RETRYWINDOW_H
@@ -37,14 +37,17 @@
 class RetryWindow
 {
 public:
-    // Shares of the limit that a router uses in its first window and later. The rest covers the
-    // time that retries and requests are on their way.
-    static constexpr double kFirstWindowShare = 0.25;
-    static constexpr double kUsedShare = 0.65;
+    // Shares of the ratio that a router uses in the first window after an earlier process, and
+    // later, and of the slack that it uses later. The rest covers the time that retries and
+    // requests are on their way.
+    static constexpr double kFirstRatioShare = 0.25;
+    static constexpr double kRatioShare = 0.65;
+    static constexpr double kSlackShare = 0.8;
 
-    explicit RetryWindow(RetryWindowSettings settings = {}, Instant processStart = {})
+    // An earlier process of this router may have run until `predecessorEnd`.
+    explicit RetryWindow(RetryWindowSettings settings = {}, Instant predecessorEnd = {})
         : settings_(settings)
-        , firstWindowEnd_(processStart + settings.window)
+        , firstWindowEnd_(predecessorEnd + settings.window)
     {
     }
 
--- a/routing/testing/retrylimit_test.cc
+++ b/routing/testing/retrylimit_test.cc
@@ -34,7 +34,7 @@
         for (size_t i = 0; i < routers; ++i)
             routers_.push_back({ "router-" + std::to_string(i), RetryWindow(kSettings, now_) });
         for (Replica &replica : replicas_)
-            replica.table.recall(0, now_);
+            replica.table.recall(0, false, now_);
     }
 
     Instant now() const { return now_; }
@@ -82,7 +82,7 @@
     {
         const uint32_t recalled = replicas_[index].table.aliveCount(now_);
         replicas_[index].table = RouterTable();
-        replicas_[index].table.recall(recalled, now_);
+        replicas_[index].table.recall(recalled, false, now_);
     }
 
     // Routers and replicas of different sides do not reach each other.
