Do not take an earlier refusal for the answer to the next request

A refusal with an id is told from the request's own by the id, but one without an id was believed, so that a request that was running was answered 503. Change: on a connection that has carried another call, 'not run' is believed only with the request's id; anything else there ends the attempt as broken, which promises nothing. A kept connection on which bytes or a close wait before a request is written is not used.

--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -51,11 +51,13 @@
     active.head = dialect_.readAnswer(status, headers);
     if (active.head.keepAlive)
         pool_.setKeepAlive(active.call, *active.head.keepAlive);
-    const bool foreign
-            = !active.head.requestId.empty() && active.head.requestId != active.caller.id;
+    // Without an id it may belong to an earlier request, unless that could not be.
+    const bool own = active.head.requestId == active.caller.id;
+    const bool foreign = !own
+            && (!active.head.requestId.empty()
+                || (active.head.notRun && pool_.isReused(active.call)));
     const bool ok = status >= 200 && status < 300;
-    active.success = ok && active.head.isSigned && !active.head.encoded
-            && active.head.requestId == active.caller.id;
+    active.success = ok && active.head.isSigned && !active.head.encoded && own;
     if (!foreign && !active.head.misdirected)
         heedEndpoint(active);
     // What claims to be a success but cannot be the endpoint's own is not read on.
--- a/node/endpointpool.cc
+++ b/node/endpointpool.cc
@@ -7,6 +7,7 @@
 #include "node/endpointpool.h"
 
 #include <algorithm>
+#include <cerrno>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -54,6 +55,15 @@
     }
 };
 
+// Whether bytes, or a close, wait to be read; those that come before a request belong to none.
+bool EndpointPool::hasInput(const Connection &connection)
+{
+    char byte = 0;
+    const evutil_socket_t socket
+            = bufferevent_getfd(evhttp_connection_get_bufferevent(connection.http));
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+}
+
 struct EndpointPool::Call
 {
     EndpointPool *pool = nullptr;
@@ -193,7 +203,7 @@
         const Duration idled = now - connection->idleSince;
         const Duration limit = mayRepeat ? connection->keepFor
                                          : std::min(connection->keepFor, limits_.freshIdle);
-        if (connection->closed || idled > limit) {
+        if (connection->closed || idled > limit || hasInput(*connection)) {
             retire(std::move(connection));
             continue;
         }
@@ -347,6 +357,12 @@
         bufferevent_enable(buffered, EV_READ);
 }
 
+bool EndpointPool::isReused(CallId id) const
+{
+    const auto found = calls_.find(id);
+    return found != calls_.end() && found->second->connection && found->second->connection->reused;
+}
+
 void EndpointPool::setKeepAlive(CallId id, Duration keepAlive)
 {
     const auto found = calls_.find(id);
--- a/node/endpointpool.h
+++ b/node/endpointpool.h
@@ -75,6 +75,9 @@
     void cancel(CallId id);
     // Stops reading the answer, or goes on: the endpoint waits once the links are full.
     void pause(CallId id, bool paused);
+    // Whether the call's connection has carried another call before: what comes on it may be left
+    // from that one.
+    bool isReused(CallId id) const;
     // How long the answer's connection may be kept, from its headers.
     void setKeepAlive(CallId id, Duration keepAlive);
 
@@ -89,6 +92,7 @@
     struct Connection;
     struct Call;
 
+    static bool hasInput(const Connection &connection);
     Connection *takeIdle(const std::string &address, bool mayRepeat);
     std::unique_ptr<Connection> connect(const std::string &address);
     void startConnectTimer(Call &call);
--- a/testing/reported_test.py
+++ b/testing/reported_test.py
@@ -258,9 +258,47 @@
         wait_for(lambda: fleet.voters() == 5, 20, "all replicas are voters again")
 
 
+def refusal_written_twice(fleet):
+    """An endpoint writes an earlier refusal once more on a kept connection, where the response to
+    the next request is expected."""
+    set_up_endpoints(fleet)
+
+    def refuse_twice(with_request_id, late):
+        def on_request(handler, endpoint):
+            request = handler.headers["X-Attempt-Id"].encode()
+            if not hasattr(handler, "refusal"):  # the first request of this connection
+                id_header = b"X-Attempt-Id: " + request + b"\r\n" if with_request_id else b""
+                handler.refusal = (b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + id_header
+                                   + b"Content-Length: 0\r\n\r\n")
+                handler.wfile.write(handler.refusal)
+                return True
+            endpoint.runs.append(request.decode())
+            if late:
+                time.sleep(0.02)
+            handler.wfile.write(handler.refusal)
+            endpoint.respond(handler, 200, b"whole answer of " + request)
+            return True
+        return on_request
+
+    second_sends = 0
+    for with_request_id in (True, False):
+        for late in (False, True):
+            for endpoint in fleet.endpoints[:2]:
+                endpoint.on_request = refuse_twice(with_request_id, late)
+            for _ in range(40):
+                status, headers, _ = fleet.send_request("/order/1", "POST", b"{}")
+                runs = run_count(fleet, headers["id"])
+                assert runs <= 1, f"a request that must not be repeated ran {runs} times"
+                assert runs == 0 or status not in (429, 503, 408, 421), \
+                    f"a request that ran was answered {status}"
+                second_sends += runs
+    assert second_sends > 0, "no kept connection was used, so the check is void"
+
+
 CASES = {case.__name__: case for case in (late_second_copy, planned_stop_under_load,
                                           malformed_input, reset_without_length,
-                                          connections_in_series, paused_leader)}
+                                          connections_in_series, paused_leader,
+                                          refusal_written_twice)}
 
 
 if __name__ == "__main__":
