--- a/control/partsuspects.cc
+++ b/control/crashsuspects.cc
@@ -1,4 +1,4 @@
-#include "control/partsuspects.h"
+#include "control/crashsuspects.h"
 
 #include <algorithm>
 
@@ -18,16 +18,16 @@
     return fmt::format("{}/{}", endpoint, startMillis);
 }
 
-PartSuspects::PartSuspects(PartSuspectLimits limits)
+CrashSuspects::CrashSuspects(CrashSuspectLimits limits)
     : limits_(limits)
 {
 }
 
-void PartSuspects::recordCrash(const PartCrash &crash)
+void CrashSuspects::recordCrash(const CrashEvidence &crash)
 {
-    if (entries_.size() >= limits_.maxParts && entries_.count(crash.part) == 0)
+    if (entries_.size() >= limits_.maxSubjects && entries_.count(crash.subject) == 0)
         dropOldest();
-    std::vector<Crash> &crashes = entries_[crash.part].crashes;
+    std::vector<Crash> &crashes = entries_[crash.subject].crashes;
     const std::string name = crashName(crash.endpoint, crash.startMillis);
     const auto known = std::find_if(crashes.begin(), crashes.end(),
                                     [&](const Crash &item) { return item.name == name; });
@@ -43,43 +43,43 @@
         crashes.erase(crashes.begin());
 }
 
-void PartSuspects::recordFirstToken(Fingerprint part, Instant at)
+void CrashSuspects::recordAnswer(Fingerprint subject, Instant at)
 {
-    const auto found = entries_.find(part);
+    const auto found = entries_.find(subject);
     if (found == entries_.end())
         return;
-    found->second.hadFirstToken = true;
-    removeCrashes(found->second, part, [at](const Crash &crash) { return crash.brokeAt <= at; });
+    found->second.wasAnswered = true;
+    removeCrashes(found->second, subject, [at](const Crash &crash) { return crash.brokeAt <= at; });
     if (found->second.crashes.empty())
         entries_.erase(found);
 }
 
-void PartSuspects::recordAnyFirstToken(Instant at)
+void CrashSuspects::recordAnyAnswer(Instant at)
 {
-    anyFirstTokenAt_ = std::max(anyFirstTokenAt_, at);
+    anyAnswerAt_ = std::max(anyAnswerAt_, at);
 }
 
-void PartSuspects::withdrawCrash(std::string_view endpoint, int64_t startMillis)
+void CrashSuspects::withdrawCrash(std::string_view endpoint, int64_t startMillis)
 {
     const std::string name = crashName(endpoint, startMillis);
-    for (auto &[part, entry] : entries_)
-        removeCrashes(entry, part, [&](const Crash &crash) { return crash.name == name; });
+    for (auto &[subject, entry] : entries_)
+        removeCrashes(entry, subject, [&](const Crash &crash) { return crash.name == name; });
     std::erase_if(entries_, [](const auto &item) { return item.second.crashes.empty(); });
 }
 
 template<typename Condition>
-void PartSuspects::removeCrashes(Entry &entry, Fingerprint part, Condition condition)
+void CrashSuspects::removeCrashes(Entry &entry, Fingerprint subject, Condition condition)
 {
     if (std::erase_if(entry.crashes, condition) == 0)
         return;
     if (entry.quarantined && countInSequence(entry, {}).crashes < limits_.crashesToQuarantine) {
         entry.quarantined = false;
-        released_.push_back(part);
+        released_.push_back(subject);
     }
 }
 
 // The largest number of crashes of which each had a request that was sent after the one before.
-PartSuspects::Count PartSuspects::countInSequence(const Entry &entry, const CrashNames &explained)
+CrashSuspects::Count CrashSuspects::countInSequence(const Entry &entry, const CrashNames &explained)
 {
     Count count;
     Instant last = Instant::min();
@@ -94,10 +94,10 @@
     return count;
 }
 
-PartSuspects::CrashNames PartSuspects::explainedCrashes() const
+CrashSuspects::CrashNames CrashSuspects::explainedCrashes() const
 {
     CrashNames names;
-    for (const auto &[part, entry] : entries_) {
+    for (const auto &[subject, entry] : entries_) {
         if (!entry.quarantined)
             continue;
         for (const Crash &crash : entry.crashes)
@@ -106,34 +106,49 @@
     return names;
 }
 
-std::vector<PartSuspects::Verdict> PartSuspects::quarantine(Instant now, Duration evidenceDelay)
+bool CrashSuspects::hasAllCrashesSince(const Entry &entry, Instant since) const
+{
+    const auto isOwn = [&entry](const Crash &crash) {
+        return std::any_of(entry.crashes.begin(), entry.crashes.end(),
+                           [&](const Crash &own) { return own.name == crash.name; });
+    };
+    return std::all_of(entries_.begin(), entries_.end(), [&](const auto &item) {
+        const std::vector<Crash> &crashes = item.second.crashes;
+        return std::all_of(crashes.begin(), crashes.end(), [&](const Crash &crash) {
+            return crash.brokeAt < since || isOwn(crash);
+        });
+    });
+}
+
+std::vector<CrashSuspects::Verdict> CrashSuspects::quarantine(Instant now, Duration evidenceDelay)
 {
     std::vector<Verdict> verdicts;
     while (true) {
         const CrashNames explained = explainedCrashes();
         std::pair<bool, size_t> most; // never had a first token, and the number of crashes
-        std::vector<Fingerprint> parts; // that have the most
-        for (const auto &[part, entry] : entries_) {
+        std::vector<Fingerprint> subjects; // that have the most
+        for (const auto &[subject, entry] : entries_) {
             if (entry.quarantined || entry.crashes.size() < limits_.crashesToQuarantine)
                 continue;
             const Count count = countInSequence(entry, explained);
-            if (count.crashes < limits_.crashesToQuarantine || now - count.first < evidenceDelay
-                || anyFirstTokenAt_ <= count.first)
+            if (count.crashes < limits_.crashesToQuarantine || now - count.first < evidenceDelay)
+                continue;
+            if (anyAnswerAt_ <= count.first && !hasAllCrashesSince(entry, count.first))
                 continue;
-            const std::pair weight { !entry.hadFirstToken, count.crashes };
+            const std::pair weight { !entry.wasAnswered, count.crashes };
             if (weight > most)
-                parts.clear();
+                subjects.clear();
             if (weight >= most) {
                 most = weight;
-                parts.push_back(part);
+                subjects.push_back(subject);
             }
         }
-        if (parts.empty())
+        if (subjects.empty())
             return verdicts;
-        for (const Fingerprint part : parts) {
-            Entry &entry = entries_.at(part);
+        for (const Fingerprint subject : subjects) {
+            Entry &entry = entries_.at(subject);
             entry.quarantined = true;
-            Verdict verdict { part, {} };
+            Verdict verdict { subject, {} };
             for (const Crash &crash : entry.crashes)
                 verdict.crashes.push_back(crash.name);
             verdicts.push_back(std::move(verdict));
@@ -141,18 +156,18 @@
     }
 }
 
-std::vector<Fingerprint> PartSuspects::takeReleased()
+std::vector<Fingerprint> CrashSuspects::takeReleased()
 {
     return std::exchange(released_, {});
 }
 
-bool PartSuspects::isQuarantined(Fingerprint part) const
+bool CrashSuspects::isQuarantined(Fingerprint subject) const
 {
-    const auto found = entries_.find(part);
+    const auto found = entries_.find(subject);
     return found != entries_.end() && found->second.quarantined;
 }
 
-std::vector<Fingerprint> PartSuspects::suspects(size_t maxCount) const
+std::vector<Fingerprint> CrashSuspects::suspects(size_t maxCount) const
 {
     std::vector<const std::pair<const Fingerprint, Entry> *> items;
     for (const auto &item : entries_) {
@@ -163,20 +178,20 @@
         return a->second.crashes.size() > b->second.crashes.size();
     });
     items.resize(std::min(items.size(), maxCount));
-    std::vector<Fingerprint> parts;
+    std::vector<Fingerprint> subjects;
     for (const auto *item : items)
-        parts.push_back(item->first);
-    return parts;
+        subjects.push_back(item->first);
+    return subjects;
 }
 
-void PartSuspects::expire(Instant now)
+void CrashSuspects::expire(Instant now)
 {
     std::erase_if(entries_, [&](const auto &item) {
         return now - item.second.crashes.back().brokeAt > limits_.retention;
     });
 }
 
-void PartSuspects::dropOldest()
+void CrashSuspects::dropOldest()
 {
     const auto oldest = std::min_element(
             entries_.begin(), entries_.end(), [](const auto &left, const auto &right) {
--- /dev/null
+++ b/control/crashsuspects.h
@@ -0,0 +1,131 @@
+// Requests, and parts of prompts, under which endpoints crash.
+//
+// A request may crash each endpoint that runs it, and a prompt part each engine that begins to
+// generate on it, whatever else the prompt holds. A crash also ends sound requests that run
+// beside, and a connection may break without a crash, so that the number of broken requests
+// alone would blame what is sent often. Hence, of a request's fingerprint and of each part:
+//
+// - For it counts a crash of an endpoint on which a request with it was waiting for its answer.
+//   It counts only if that request was sent after the crash counted before it: an event that
+//   takes many endpoints at once counts as one.
+// - Against it counts an answer, or a first token, to a request with it: all earlier crashes are
+//   forgotten. A crash is withdrawn if the endpoint's incarnation answers later requests.
+// - It is quarantined after several crashes, once every router had time to report answers, and
+//   if the fault is not the endpoints': some request was answered meanwhile, or no others ended in
+//   other crashes.
+// - Crashes that something quarantined explains do not count against what came beside it. Of
+//   several with enough crashes those go first that are not known to have been answered ever.
+//
+// A quarantine ends when evidence that came in late takes its crashes away.
+
+#ifndef BAMBOOGAP_CONTROL_CRASHSUSPECTS_H
+#define BAMBOOGAP_CONTROL_CRASHSUSPECTS_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "control/suspects.h"
+
+namespace bamboogap {
+
+// A request that waited for its answer when its endpoint crashed.
+struct CrashEvidence
+{
+    Fingerprint subject = 0; // the request, or a part of its prompt
+    std::string endpoint; // its id
+    int64_t startMillis = 0; // of its incarnation
+    Instant sentAt {};
+    Instant brokeAt {};
+};
+
+// The id of a part among fingerprints of requests.
+Fingerprint partFingerprint(uint64_t partId);
+
+// The name of a crash, as SuspectRequests uses it.
+std::string crashName(std::string_view endpoint, int64_t startMillis);
+
+struct CrashSuspectLimits
+{
+    size_t maxSubjects = 2000; // the one whose last crash is the oldest is dropped beyond
+    size_t maxCrashes = 16; // of a subject; the oldest is dropped beyond
+    size_t crashesToQuarantine = 3;
+    Duration retention = std::chrono::minutes(10); // of a subject after its last crash
+};
+
+class CrashSuspects
+{
+public:
+    struct Verdict
+    {
+        Fingerprint subject = 0;
+        std::vector<std::string> crashes; // their names
+    };
+
+    explicit CrashSuspects(CrashSuspectLimits limits = {});
+
+    void recordCrash(const CrashEvidence &crash);
+    // A request with the subject was answered, or got its first token.
+    void recordAnswer(Fingerprint subject, Instant at);
+    // Some request was.
+    void recordAnyAnswer(Instant at);
+    // The incarnation goes on: what looked like its crash was none.
+    void withdrawCrash(std::string_view endpoint, int64_t startMillis);
+    // Drops all evidence against a subject whose quarantine was lifted.
+    void forget(Fingerprint subject) { entries_.erase(subject); }
+    void expire(Instant now);
+
+    // Quarantines the subjects with enough evidence and returns them. evidenceDelay is the longest
+    // time from an answer to its report.
+    std::vector<Verdict> quarantine(Instant now, Duration evidenceDelay);
+    // Subjects whose quarantine has ended for late evidence since the last call.
+    std::vector<Fingerprint> takeReleased();
+
+    bool isQuarantined(Fingerprint subject) const;
+    // At most maxCount subjects that are not quarantined, those with the most crashes first: their
+    // answers are of interest.
+    std::vector<Fingerprint> suspects(size_t maxCount) const;
+    size_t size() const { return entries_.size(); }
+
+private:
+    struct Crash
+    {
+        std::string name;
+        Instant sentAt {};
+        Instant brokeAt {};
+    };
+    struct Entry
+    {
+        std::vector<Crash> crashes; // by brokeAt
+        bool wasAnswered = false; // before the crashes
+        bool quarantined = false;
+    };
+    // The crashes that count against a subject.
+    struct Count
+    {
+        size_t crashes = 0;
+        Instant first {};
+    };
+
+    using CrashNames = std::set<std::string, std::less<>>;
+
+    static Count countInSequence(const Entry &entry, const CrashNames &explained);
+    CrashNames explainedCrashes() const;
+    bool hasAllCrashesSince(const Entry &entry, Instant since) const;
+    template<typename Condition>
+    void removeCrashes(Entry &entry, Fingerprint subject, Condition condition);
+    void dropOldest();
+
+    CrashSuspectLimits limits_;
+    std::map<Fingerprint, Entry> entries_;
+    std::vector<Fingerprint> released_;
+    Instant anyAnswerAt_ {};
+};
+
+} // namespace bamboogap
+
+#endif
--- a/control/suspects.cc
+++ b/control/suspects.cc
@@ -76,12 +76,6 @@
     return isQuarantined(found->second) ? SuspicionStatus::Quarantined : SuspicionStatus::Suspect;
 }
 
-std::vector<std::string> SuspectRequests::crashesOf(Fingerprint fingerprint) const
-{
-    const auto found = entries_.find(fingerprint);
-    return found == entries_.end() ? std::vector<std::string>() : found->second.crashes;
-}
-
 std::vector<SuspectRequest> SuspectRequests::all() const
 {
     std::vector<SuspectRequest> requests;
--- a/control/suspects.h
+++ b/control/suspects.h
@@ -72,9 +72,6 @@
     // Clear if the request has no entry.
     SuspicionStatus statusOf(Fingerprint fingerprint) const;
 
-    // The crashes recorded for a request, at most until it was quarantined.
-    std::vector<std::string> crashesOf(Fingerprint fingerprint) const;
-
     // Increases whenever a status may have changed.
     uint64_t version() const { return version_; }
 
--- a/control/testing/partsuspects_test.cc
+++ b/control/testing/crashsuspects_test.cc
@@ -8,7 +8,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include "control/partsuspects.h"
+#include "control/crashsuspects.h"
 
 namespace bamboogap {
 namespace {
@@ -26,27 +26,27 @@
 }
 
 // A crash of engine `number`, some 100 ms after the request was sent to it.
-PartCrash crash(Fingerprint part, int number, int64_t millis, int64_t sentMillis)
+CrashEvidence crash(Fingerprint part, int number, int64_t millis, int64_t sentMillis)
 {
     return { part, "e" + std::to_string(number), 1, at(sentMillis), at(millis) };
 }
 
-PartCrash crash(Fingerprint part, int number, int64_t millis)
+CrashEvidence crash(Fingerprint part, int number, int64_t millis)
 {
     return crash(part, number, millis, millis - 100);
 }
 
 TEST_CASE("a part that crashes one engine after the other is quarantined")
 {
-    PartSuspects suspects;
+    CrashSuspects suspects;
     suspects.recordCrash(crash(kPart, 1, 1000));
     suspects.recordCrash(crash(kPart, 2, 2000));
-    suspects.recordAnyFirstToken(at(2500));
+    suspects.recordAnyAnswer(at(2500));
     CHECK(suspects.quarantine(at(2900), kDelay).empty());
     suspects.recordCrash(crash(kPart, 3, 3000));
     const auto verdicts = suspects.quarantine(at(3000), kDelay);
     REQUIRE(verdicts.size() == 1);
-    CHECK(verdicts[0].part == kPart);
+    CHECK(verdicts[0].subject == kPart);
     CHECK(verdicts[0].crashes == std::vector<std::string> { "e1/1", "e2/1", "e3/1" });
     CHECK(suspects.isQuarantined(kPart));
     CHECK(suspects.quarantine(at(4000), kDelay).empty()); // told once
@@ -55,23 +55,23 @@
 
 TEST_CASE("a part with a first token between the crashes is not quarantined")
 {
-    PartSuspects suspects;
-    suspects.recordAnyFirstToken(at(9000));
+    CrashSuspects suspects;
+    suspects.recordAnyAnswer(at(9000));
     suspects.recordCrash(crash(kPart, 1, 1000));
     suspects.recordCrash(crash(kPart, 2, 2000));
-    suspects.recordFirstToken(kPart, at(2500));
+    suspects.recordAnswer(kPart, at(2500));
     suspects.recordCrash(crash(kPart, 3, 3000));
     suspects.recordCrash(crash(kPart, 4, 4000));
     CHECK(suspects.quarantine(at(9000), kDelay).empty());
-    suspects.recordFirstToken(kPart, at(500)); // before the crashes: does not count
+    suspects.recordAnswer(kPart, at(500)); // before the crashes: does not count
     suspects.recordCrash(crash(kPart, 5, 5000));
     CHECK(suspects.quarantine(at(9000), kDelay).size() == 1);
 }
 
 TEST_CASE("engines that crash at the same moment count once")
 {
-    PartSuspects suspects;
-    suspects.recordAnyFirstToken(at(9000));
+    CrashSuspects suspects;
+    suspects.recordAnyAnswer(at(9000));
     for (int i = 0; i < 10; ++i)
         suspects.recordCrash(crash(kPart, i, 1000 + i, 900));
     CHECK(suspects.quarantine(at(9000), kDelay).empty());
@@ -79,24 +79,36 @@
 
 TEST_CASE("crashes while no engine works do not quarantine a part")
 {
-    PartSuspects suspects;
-    suspects.recordAnyFirstToken(at(900));
-    for (int i = 0; i < 5; ++i)
+    CrashSuspects suspects;
+    suspects.recordAnyAnswer(at(900));
+    for (int i = 0; i < 5; ++i) {
         suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
+        suspects.recordCrash(crash(kPart + 1, 10 + i, 1000 * (i + 1) + 100));
+    }
     CHECK(suspects.quarantine(at(9000), kDelay).empty());
-    suspects.recordAnyFirstToken(at(9500));
-    CHECK(suspects.quarantine(at(9600), kDelay).size() == 1);
+    suspects.recordAnyAnswer(at(9500));
+    CHECK(suspects.quarantine(at(9600), kDelay).size() == 2);
+}
+
+TEST_CASE("a request that crashes endpoints is quarantined, also if it is the only one")
+{
+    CrashSuspects suspects;
+    for (int i = 0; i < 3; ++i) {
+        suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
+        suspects.recordCrash(crash(kPart + 1, i, 1000 * (i + 1))); // a part of it
+    }
+    CHECK(suspects.quarantine(at(4000), kDelay).size() == 2);
 }
 
 TEST_CASE("a first token that is reported late prevents or ends a quarantine")
 {
-    PartSuspects suspects;
-    suspects.recordAnyFirstToken(at(9000));
+    CrashSuspects suspects;
+    suspects.recordAnyAnswer(at(9000));
     for (int i = 0; i < 3; ++i)
         suspects.recordCrash(crash(kPart, i, 1000 + 200 * i));
     CHECK(suspects.quarantine(at(1900), kDelay).empty()); // its report may be on the way
     CHECK(suspects.quarantine(at(2000), kDelay).size() == 1);
-    suspects.recordFirstToken(kPart, at(1350));
+    suspects.recordAnswer(kPart, at(1350));
     CHECK_FALSE(suspects.isQuarantined(kPart));
     CHECK(suspects.takeReleased() == std::vector<Fingerprint> { kPart });
     CHECK(suspects.takeReleased().empty());
@@ -104,8 +116,8 @@
 
 TEST_CASE("crashes of engines that go on are withdrawn")
 {
-    PartSuspects suspects;
-    suspects.recordAnyFirstToken(at(9000));
+    CrashSuspects suspects;
+    suspects.recordAnyAnswer(at(9000));
     for (int i = 0; i < 3; ++i)
         suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
     REQUIRE(suspects.quarantine(at(4000), kDelay).size() == 1);
@@ -118,9 +130,9 @@
 
 TEST_CASE("the suspected parts are bounded and expire")
 {
-    PartSuspectLimits limits;
-    limits.maxParts = 3;
-    PartSuspects suspects(limits);
+    CrashSuspectLimits limits;
+    limits.maxSubjects = 3;
+    CrashSuspects suspects(limits);
     for (Fingerprint part = 1; part <= 5; ++part)
         suspects.recordCrash(crash(part, 1, 1000 * static_cast<int64_t>(part)));
     CHECK(suspects.size() == 3);
@@ -133,20 +145,20 @@
 TEST_CASE("a part that always comes with the one that crashes engines is not quarantined")
 {
     constexpr Fingerprint kCompanion = 8;
-    PartSuspects suspects;
-    suspects.recordAnyFirstToken(at(9000));
+    CrashSuspects suspects;
+    suspects.recordAnyAnswer(at(9000));
     for (int i = 0; i < 4; ++i) {
         suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
         suspects.recordCrash(crash(kCompanion, i, 1000 * (i + 1)));
-        suspects.recordFirstToken(kCompanion, at(500)); // before the first crash
+        suspects.recordAnswer(kCompanion, at(500)); // before the first crash
     }
     const auto verdicts = suspects.quarantine(at(9000), kDelay);
     REQUIRE(verdicts.size() == 1);
-    CHECK(verdicts[0].part == kPart);
+    CHECK(verdicts[0].subject == kPart);
     // Crashes without the quarantined part count.
     for (int i = 10; i < 13; ++i)
         suspects.recordCrash(crash(kCompanion, i, 1000 * i));
-    suspects.recordAnyFirstToken(at(13000));
+    suspects.recordAnyAnswer(at(13000));
     CHECK(suspects.quarantine(at(14000), kDelay).size() == 1);
     CHECK(suspects.isQuarantined(kCompanion));
 }
@@ -167,7 +179,7 @@
             Instant tokenAt;
         };
         std::mt19937 random(seed);
-        PartSuspects suspects;
+        CrashSuspects suspects;
         std::vector<std::vector<Waiting>> engines(kEngines);
         std::vector<int> starts(kEngines, 1);
         std::vector<std::pair<Instant, std::function<void()>>> reports;
@@ -194,18 +206,18 @@
                         continue;
                     const Instant due = now + milliseconds(random() % (crashed ? 250 : 700));
                     for (const Fingerprint part : item.parts) {
-                        const PartCrash crash { part, "e" + std::to_string(i), starts[i],
-                                                item.sentAt, now };
+                        const CrashEvidence crash { part, "e" + std::to_string(i), starts[i],
+                                                    item.sentAt, now };
                         reports.emplace_back(due, [&suspects, &lastToken, crash, crashed, now] {
                             if (crashed) {
                                 suspects.recordCrash(crash);
                             } else {
-                                suspects.recordAnyFirstToken(now);
-                                lastToken[crash.part] = now;
+                                suspects.recordAnyAnswer(now);
+                                lastToken[crash.subject] = now;
                             }
                             // Routers report the last first token of a suspected part.
-                            if (lastToken.count(crash.part) > 0)
-                                suspects.recordFirstToken(crash.part, lastToken[crash.part]);
+                            if (lastToken.count(crash.subject) > 0)
+                                suspects.recordAnswer(crash.subject, lastToken[crash.subject]);
                         });
                     }
                 }
@@ -221,8 +233,8 @@
             }
             std::erase_if(reports, [now](const auto &item) { return item.first <= now; });
             for (const auto &verdict : suspects.quarantine(now, kDelay)) {
-                quarantined.insert(verdict.part);
-                RC_ASSERT(lastToken.count(verdict.part) == 0U);
+                quarantined.insert(verdict.subject);
+                RC_ASSERT(lastToken.count(verdict.subject) == 0U);
             }
             if (quarantined.count(kDeadly) > 0)
                 quarantinedAt = std::min(quarantinedAt, now);
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -100,24 +100,25 @@
     }
 }
 
-void DirectRouter::noteFirstToken(const Active &active)
+void DirectRouter::noteAnswer(const Active &active)
 {
-    if (active.isEngine)
-        firstTokens_.record(active.parts, BootClock::now());
+    answerTimes_.record(active.subjects, BootClock::now());
 }
 
-// The endpoint broke off before the first token.
+// The endpoint broke off before the answer, or its first token.
 void DirectRouter::noteCrash(const Active &active)
 {
     const Instant now = BootClock::now();
-    sync_->reportCrash({ active.fingerprint, crashName(active.endpointId, active.endpointBorn) });
-    if (!active.isEngine || active.parts.empty())
-        return;
     std::erase_if(crashed_, [now](const auto &item) { return now - item.second > kCrashMemory; });
     crashed_.try_emplace({ active.endpointId, active.endpointBorn }, now);
-    for (const Fingerprint part : active.parts) {
-        sync_->reportPartCrash(
-                { part, active.endpointId, active.endpointBorn, active.sentAt, now });
+    logEvent(LogLevel::Info, "endpoint_broke_off",
+             { { "request", active.caller.id },
+               { "fingerprint", fmt::format("{:016x}", active.subjects.front()) },
+               { "crash", crashName(active.endpointId, active.endpointBorn) },
+               { "waited_ms", fmt::to_string(toMillis(now - active.sentAt)) } });
+    for (const Fingerprint subject : active.subjects) {
+        sync_->reportCrashEvidence(
+                { subject, active.endpointId, active.endpointBorn, active.sentAt, now });
     }
 }
 
@@ -200,7 +201,7 @@
         board_.onFirstToken(active.endpoint, active.unreadTokens, active.expectedMillis,
                             now - active.sentAt);
         sync_->roster().recordResponse(active.endpointId, now);
-        noteFirstToken(active);
+        noteAnswer(active);
     }
     if (!active.streaming) {
         active.streaming = true;
@@ -251,6 +252,8 @@
         return;
     }
     ++active.runs;
+    if (!active.success || !active.isStream)
+        noteAnswer(active); // a failure is an answer, too
     if (active.success && active.isStream) {
         const bool whole = !active.events.hasPartial() && active.hadFirstByte;
         settle(active, whole ? Outcome::Succeeded : Outcome::Broken, "");
@@ -265,7 +268,6 @@
     }
     if (active.success) {
         sync_->roster().recordResponse(active.endpointId, BootClock::now());
-        noteFirstToken(active);
         settle(active, Outcome::Succeeded, "");
         answerEndpoint(active);
         return;
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -199,7 +199,7 @@
         SyncTask::Hooks hooks;
         hooks.uses = [this] { return router_->uses(); };
         hooks.takePlacements = [this] { return router_->takePlacements(); };
-        hooks.firstTokens = [this]() -> const FirstTokens & { return router_->firstTokens(); };
+        hooks.answerTimes = [this]() -> const AnswerTimes & { return router_->answerTimes(); };
         hooks.learn = [this](std::span<const PromptPlacement> placements) {
             router_->learn(placements);
         };
--- a/node/directrequest.h
+++ b/node/directrequest.h
@@ -15,7 +15,6 @@
     HttpRequest request;
     CallerRequest caller;
     std::vector<ChainPart> prompt;
-    std::vector<Fingerprint> parts; // of the prompt, without the last, which is the request's own
     std::shared_ptr<const RouteTable> table; // keeps route alive
     const Route *route = nullptr;
     std::string workspace;
@@ -26,7 +25,9 @@
     Instant arrivedAt {};
     Instant deadline {};
     Instant waitUntil {}; // for a place
-    Fingerprint fingerprint = 0;
+    // The request's fingerprint and those of its prompt's parts, without the last part, which is
+    // its own.
+    std::vector<Fingerprint> subjects;
     event *timer = nullptr;
 
     uint32_t sends = 0;
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -44,12 +44,14 @@
     return combineHashes(hashBytes(request.path, hashBytes(accessKey)), hashBytes(request.body));
 }
 
-std::vector<Fingerprint> sharedParts(std::span<const PrefixPart> prompt)
+std::vector<Fingerprint> subjectsOf(const HttpRequest &request, const CallerRequest &caller)
 {
-    std::vector<Fingerprint> parts;
-    for (size_t i = 0; i + 1 < prompt.size(); ++i)
-        parts.push_back(partFingerprint(prompt[i].id));
-    return parts;
+    std::vector<Fingerprint> subjects { fingerprintOf(request, caller.accessKey) };
+    if (caller.model.empty())
+        return subjects;
+    for (size_t i = 0; i + 1 < caller.prompt.size(); ++i)
+        subjects.push_back(partFingerprint(caller.prompt[i].id));
+    return subjects;
 }
 
 } // namespace
@@ -151,7 +153,6 @@
     }
     active.caller = std::move(*caller);
     active.prompt = chainOf(active.caller.prompt);
-    active.parts = sharedParts(active.caller.prompt);
     if (active.arrivedAt > lastCall_) {
         refuse(active, Refusal::NotReady, "the router stops");
         return false;
@@ -192,7 +193,7 @@
     active.deadline = active.arrivedAt
             + std::min(route.timeout, active.caller.remaining.value_or(kNoRouteTimeout));
     active.waitUntil = active.arrivedAt + scaled(route.latencyGoal, kWaitShare);
-    active.fingerprint = fingerprintOf(active.request, active.caller.accessKey);
+    active.subjects = subjectsOf(active.request, active.caller);
     auto retries = retries_.find(active.service);
     if (retries == retries_.end())
         retries = retries_.emplace(active.service,
@@ -205,11 +206,9 @@
 
 bool DirectRouter::isQuarantined(const Active &active) const
 {
-    const auto quarantined = [this](Fingerprint fingerprint) {
-        return sync_->standingOf(fingerprint) == SuspicionStatus::Quarantined;
-    };
-    return quarantined(active.fingerprint)
-            || std::any_of(active.parts.begin(), active.parts.end(), quarantined);
+    return std::any_of(active.subjects.begin(), active.subjects.end(), [this](Fingerprint subject) {
+        return sync_->standingOf(subject) == SuspicionStatus::Quarantined;
+    });
 }
 
 PlacementRequest DirectRouter::placementRequest(const Active &active) const
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -20,9 +20,9 @@
 #include "node/httpserver.h"
 #include "node/metrics.h"
 #include "node/synctask.h"
+#include "routing/answertimes.h"
 #include "routing/endpointselector.h"
 #include "routing/eventstream.h"
-#include "routing/firsttokens.h"
 #include "routing/retrywindow.h"
 
 namespace bamboogap {
@@ -63,7 +63,7 @@
     std::vector<PromptPlacement> takePlacements() { return board_.takePlacements(); }
     void learn(std::span<const PromptPlacement> placements) { board_.addPlacements(placements); }
     const EndpointSelector &board() const { return board_; }
-    const FirstTokens &firstTokens() const { return firstTokens_; }
+    const AnswerTimes &answerTimes() const { return answerTimes_; }
     size_t openCount() const { return active_.size(); }
 
 private:
@@ -77,7 +77,7 @@
     void send(Active &active, const Placement &placement);
     bool onHead(ExchangeId id, int status, std::span<const HttpHeader> headers);
     void heedEndpoint(const Active &active);
-    void noteFirstToken(const Active &active);
+    void noteAnswer(const Active &active);
     void noteCrash(const Active &active);
     bool isQuarantined(const Active &active) const;
     void onData(ExchangeId id, std::string_view data);
@@ -121,7 +121,7 @@
     EndpointSelector board_;
     EndpointPool pool_;
     std::map<std::string, RetryWindow, std::less<>> retries_; // by service
-    FirstTokens firstTokens_;
+    AnswerTimes answerTimes_;
     // Incarnations of endpoints that were reported to have crashed, and when.
     std::map<std::pair<std::string, int64_t>, Instant> crashed_;
     std::map<ExchangeId, std::unique_ptr<Active>> active_;
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -32,15 +32,12 @@
 // Between two messages with changes of the roster to another replica; they are needed only
 // after a restart.
 constexpr Duration kShareRoster = std::chrono::seconds(1);
-// Crashes of different endpoints under one request before it is refused everywhere.
-// Two leave room for an innocent request that met two crashes in a row.
-constexpr size_t kCrashesToQuarantine = 3;
 
-// A first token of a suspected part is known here after this: the router hears of the suspicion
+// An answer to a suspected request is known here after this: the router hears of the suspicion
 // and reports. Reports of a large fleet come less often.
 constexpr Duration kLeastEvidenceDelay = std::chrono::seconds(1);
 constexpr Duration kEvidencePerRouter = std::chrono::milliseconds(8);
-constexpr size_t kMaxPartsWatched = 64;
+constexpr size_t kMaxWatched = 128;
 
 // Placements told in one answer. All routers together get so many in a round of
 // reports, so that a large fleet's news leaves a replica's link to the log: a placement
@@ -54,13 +51,6 @@
 constexpr size_t kRecordsTold = 64;
 constexpr size_t kRecordsInShortRound = 2000;
 
-SuspectLimits suspectLimits()
-{
-    SuspectLimits limits;
-    limits.crashesToQuarantine = kCrashesToQuarantine;
-    return limits;
-}
-
 uint64_t randomEpoch()
 {
     std::random_device device;
@@ -189,7 +179,6 @@
     , memoFile_(std::move(memo))
     , startCalls_(loop, peers, settings_.address)
     , spread_({ settings_.linkBytesPerSecond })
-    , suspects_(suspectLimits())
     , quarantineVersion_(randomEpoch())
 {
 }
@@ -236,9 +225,8 @@
         roster_.tick(now);
         routers_.removeExpired(now);
         rememberFleet(now);
-        suspects_.expire(wallClockMillis());
-        partSuspects_.expire(now);
-        quarantineParts(now);
+        crashSuspects_.expire(now);
+        quarantineSuspects(now);
         metrics_.set("bamboogap_roster_endpoints", {}, double(roster_.size()));
         metrics_.set("bamboogap_routes_version", {}, double(control_.deployment().version()));
         metrics_.set("bamboogap_replica_current", {}, control_.isCurrent() ? 1 : 0);
@@ -375,8 +363,6 @@
             spread_.addPeer(known.peerAddress, known.dataCentre, known.routesVersion, now);
         }
     }
-    for (const auto crash : request.getCrashes())
-        noteCrash(name, crash.getFingerprint(), std::string(toView(crash.getCrash())));
     for (const auto endpoint : request.getLeavingEndpoints())
         noteLeaving(name, toView(endpoint.getId()), endpoint.getBornMillis());
     for (PromptPlacement &placement : read(request.getPlacements()))
@@ -493,23 +479,6 @@
                { "told_by", std::string(router) } });
 }
 
-void ReplicaFront::noteCrash(std::string_view router, Fingerprint fingerprint,
-                             const std::string &crash)
-{
-    const SuspicionStatus before = suspects_.statusOf(fingerprint);
-    suspects_.recordCrash(fingerprint, crash, wallClockMillis());
-    if (before == SuspicionStatus::Quarantined
-        || suspects_.statusOf(fingerprint) != SuspicionStatus::Quarantined)
-        return;
-    refreshQuarantine();
-    commitQuarantine();
-    logEvent(LogLevel::Warning, "request_quarantined",
-             { { "fingerprint", fmt::format("{:016x}", fingerprint) },
-               { "router", std::string(router) },
-               { "last_crash", crash },
-               { "crashes", fmt::to_string(kCrashesToQuarantine) } });
-}
-
 void ReplicaFront::refreshQuarantine()
 {
     if (control_.suspects().version() != committedVersion_) {
@@ -520,18 +489,15 @@
             if (committedQuarantine_.count(fingerprint) > 0)
                 continue;
             // It was lifted for the whole fleet.
-            suspects_.liftQuarantine(fingerprint);
-            partSuspects_.forget(fingerprint);
-            quarantinedParts_.erase(fingerprint);
+            crashSuspects_.forget(fingerprint);
+            quarantinedHere_.erase(fingerprint);
         }
     }
     std::map<Fingerprint, SuspicionStatus> all;
-    for (const Fingerprint part : partSuspects_.suspects(kMaxPartsWatched))
-        all[part] = SuspicionStatus::Suspect;
-    for (const Fingerprint fingerprint : quarantinedAmong(suspects_.all()))
-        all[fingerprint] = SuspicionStatus::Quarantined;
-    for (const auto &[part, crashes] : quarantinedParts_)
-        all[part] = SuspicionStatus::Quarantined;
+    for (const Fingerprint subject : crashSuspects_.suspects(kMaxWatched))
+        all[subject] = SuspicionStatus::Suspect;
+    for (const auto &[subject, crashes] : quarantinedHere_)
+        all[subject] = SuspicionStatus::Quarantined;
     for (const Fingerprint fingerprint : committedQuarantine_)
         all[fingerprint] = SuspicionStatus::Quarantined;
     std::vector<SuspectRequest> told;
@@ -548,13 +514,9 @@
 {
     if (!control_.maySpeak())
         return;
-    for (const Fingerprint fingerprint : quarantinedAmong(suspects_.all())) {
-        if (control_.suspects().statusOf(fingerprint) != SuspicionStatus::Quarantined)
-            commitCrashes(fingerprint, suspects_.crashesOf(fingerprint));
-    }
-    for (const auto &[part, crashes] : quarantinedParts_) {
-        if (control_.suspects().statusOf(part) != SuspicionStatus::Quarantined)
-            commitCrashes(part, crashes);
+    for (const auto &[subject, crashes] : quarantinedHere_) {
+        if (control_.suspects().statusOf(subject) != SuspicionStatus::Quarantined)
+            commitCrashes(subject, crashes);
     }
 }
 
@@ -562,42 +524,42 @@
                                 Instant now)
 {
     const auto ago = [now](uint32_t millis) { return now - std::chrono::milliseconds(millis); };
-    for (const auto crash : request.getPartCrashes()) {
-        partSuspects_.recordCrash({ crash.getPart(), std::string(toView(crash.getEndpoint())),
-                                    crash.getBornMillis(), ago(crash.getSentMillisAgo()),
-                                    ago(crash.getBrokeMillisAgo()) });
-    }
-    for (const auto token : request.getFirstTokens())
-        partSuspects_.recordFirstToken(token.getPart(), ago(token.getMillisAgo()));
-    if (request.hasAnyFirstToken())
-        partSuspects_.recordAnyFirstToken(ago(request.getAnyFirstToken().getMillisAgo()));
+    for (const auto crash : request.getCrashEvidence()) {
+        crashSuspects_.recordCrash({ crash.getSubject(), std::string(toView(crash.getEndpoint())),
+                                     crash.getBornMillis(), ago(crash.getSentMillisAgo()),
+                                     ago(crash.getBrokeMillisAgo()) });
+    }
+    for (const auto answer : request.getLastAnswers())
+        crashSuspects_.recordAnswer(answer.getSubject(), ago(answer.getMillisAgo()));
+    if (request.hasAnyAnswer())
+        crashSuspects_.recordAnyAnswer(ago(request.getAnyAnswer().getMillisAgo()));
     for (const auto endpoint : request.getLivingEndpoints()) {
-        partSuspects_.withdrawCrash(toView(endpoint.getId()), endpoint.getBornMillis());
+        crashSuspects_.withdrawCrash(toView(endpoint.getId()), endpoint.getBornMillis());
         logEvent(LogLevel::Info, "crash_withdrawn",
                  { { "endpoint", std::string(toView(endpoint.getId())) },
                    { "told_by", std::string(router) } });
     }
-    quarantineParts(now);
+    quarantineSuspects(now);
 }
 
-void ReplicaFront::quarantineParts(Instant now)
+void ReplicaFront::quarantineSuspects(Instant now)
 {
     const Duration evidenceDelay
             = kLeastEvidenceDelay + routers_.aliveCount(now) * kEvidencePerRouter;
-    for (auto &verdict : partSuspects_.quarantine(now, evidenceDelay)) {
-        logEvent(LogLevel::Warning, "part_quarantined",
-                 { { "part", fmt::format("{:016x}", verdict.part) },
+    for (auto &verdict : crashSuspects_.quarantine(now, evidenceDelay)) {
+        logEvent(LogLevel::Warning, "quarantined",
+                 { { "fingerprint", fmt::format("{:016x}", verdict.subject) },
                    { "crashes", fmt::format("{}", fmt::join(verdict.crashes, ",")) } });
-        metrics_.count("bamboogap_parts_quarantined_total");
-        quarantinedParts_[verdict.part] = std::move(verdict.crashes);
-    }
-    for (const Fingerprint part : partSuspects_.takeReleased()) {
-        logEvent(LogLevel::Warning, "part_released",
-                 { { "part", fmt::format("{:016x}", part) },
-                   { "reason", "a first token, or an engine that goes on" } });
-        quarantinedParts_.erase(part);
+        metrics_.count("bamboogap_quarantined_total");
+        quarantinedHere_[verdict.subject] = std::move(verdict.crashes);
+    }
+    for (const Fingerprint subject : crashSuspects_.takeReleased()) {
+        logEvent(LogLevel::Warning, "quarantine_withdrawn",
+                 { { "fingerprint", fmt::format("{:016x}", subject) },
+                   { "reason", "an answer, or an endpoint that goes on" } });
+        quarantinedHere_.erase(subject);
         if (control_.maySpeak())
-            liftCommitted(part);
+            liftCommitted(subject);
     }
     refreshQuarantine();
     commitQuarantine();
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -8,8 +8,8 @@
 #include <map>
 
 #include "base/pausewatch.h"
+#include "control/crashsuspects.h"
 #include "control/documentpiece.h"
-#include "control/partsuspects.h"
 #include "control/suspects.h"
 #include "fleet/documentdistributor.h"
 #include "fleet/placementlog.h"
@@ -103,9 +103,8 @@
     void noteWork(std::string_view router, wire::SyncRequest::Reader request, Instant now);
     void shareGroup();
     void noteLeaving(std::string_view router, std::string_view endpointId, int64_t bornMillis);
-    void noteCrash(std::string_view router, Fingerprint fingerprint, const std::string &crash);
     void noteEvidence(std::string_view router, wire::SyncRequest::Reader request, Instant now);
-    void quarantineParts(Instant now);
+    void quarantineSuspects(Instant now);
     void refreshQuarantine();
     void commitQuarantine();
     void liftCommitted(Fingerprint fingerprint);
@@ -147,11 +146,10 @@
     PlacementLog placements_;
     DocumentHistory documents_;
     DocumentDistributor spread_;
-    SuspectRequests suspects_;
-    PartSuspects partSuspects_;
-    std::map<Fingerprint, std::vector<std::string>> quarantinedParts_; // with their crashes
-    // What is told to the routers: requests and parts to be refused everywhere, and parts whose
-    // first tokens they are to report. Of suspected requests there are thousands under resets.
+    CrashSuspects crashSuspects_;
+    // By the evidence of this process, with the crashes.
+    std::map<Fingerprint, std::vector<std::string>> quarantinedHere_;
+    // What is told to the routers: what they are to refuse, and what they are to report answers of.
     std::vector<SuspectRequest> told_;
     // Those of the log, which outlive this process, as last seen at a version of the log's
     // suspects.
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -201,13 +201,6 @@
         uses[i].setRunning(std::min<uint32_t>(own[i].running, UINT16_MAX));
         uses[i].setUnreadTokens(own[i].pendingPrefillTokens);
     }
-    const auto newCrashes = crashes_.since(link.crashesSent);
-    auto crashes = request.initCrashes(newCrashes.size());
-    for (size_t i = 0; i < newCrashes.size(); ++i) {
-        crashes[i].setFingerprint(newCrashes[i].fingerprint);
-        crashes[i].setCrash(newCrashes[i].name);
-    }
-    const uint64_t crashesSent = crashes_.end();
     const auto newLeaving = leavingEndpoints_.since(link.leavingSent);
     auto leaving = request.initLeavingEndpoints(newLeaving.size());
     for (size_t i = 0; i < newLeaving.size(); ++i) {
@@ -216,7 +209,7 @@
     }
     const uint64_t leavingSent = leavingEndpoints_.end();
     writeEvidence(link, request);
-    const uint64_t partCrashesSent = partCrashes_.end();
+    const uint64_t evidenceSent = crashEvidence_.end();
     const uint64_t livingSent = livingEndpoints_.end();
     uint64_t placementsSent = link.placementsSent;
     const auto placed = placements_.since(placementsSent, "-", kMaxPlacementsSent);
@@ -237,9 +230,8 @@
                                      ReplicaLink &answered = links_[address];
                                      if (answered.attempt != attempt)
                                          return;
-                                     answered.crashesSent = crashesSent;
                                      answered.leavingSent = leavingSent;
-                                     answered.partCrashesSent = partCrashesSent;
+                                     answered.evidenceSent = evidenceSent;
                                      answered.livingSent = livingSent;
                                      answered.placementsSent = placementsSent;
                                      answered.addressToldTo = response.getReply().getRosterEpoch();
@@ -251,17 +243,17 @@
                  "sync");
 }
 
-// What speaks for and against the parts of prompts that the replica suspects.
+// What speaks for and against the requests and parts of prompts that the replica suspects.
 void SyncTask::writeEvidence(const ReplicaLink &link, wire::SyncRequest::Builder request) const
 {
     const Instant now = BootClock::now();
     const auto millisAgo = [now](Instant at) {
         return static_cast<uint32_t>(std::clamp<int64_t>(toMillis(now - at), 0, UINT32_MAX));
     };
-    const auto newCrashes = partCrashes_.since(link.partCrashesSent);
-    auto crashes = request.initPartCrashes(newCrashes.size());
+    const auto newCrashes = crashEvidence_.since(link.evidenceSent);
+    auto crashes = request.initCrashEvidence(newCrashes.size());
     for (size_t i = 0; i < newCrashes.size(); ++i) {
-        crashes[i].setPart(newCrashes[i].part);
+        crashes[i].setSubject(newCrashes[i].subject);
         crashes[i].setEndpoint(newCrashes[i].endpoint);
         crashes[i].setBornMillis(newCrashes[i].startMillis);
         crashes[i].setSentMillisAgo(millisAgo(newCrashes[i].sentAt));
@@ -273,19 +265,19 @@
         living[i].setId(newLiving[i].id);
         living[i].setBornMillis(newLiving[i].bornMillis);
     }
-    const FirstTokens &tokens = hooks_.firstTokens();
+    const AnswerTimes &times = hooks_.answerTimes();
     std::vector<std::pair<Fingerprint, Instant>> seen;
-    for (const Fingerprint part : link.watchedParts) {
-        if (const auto at = tokens.lastOf(part))
-            seen.emplace_back(part, *at);
+    for (const Fingerprint subject : link.watched) {
+        if (const auto at = times.lastOf(subject))
+            seen.emplace_back(subject, *at);
     }
-    auto firstTokens = request.initFirstTokens(seen.size());
+    auto answers = request.initLastAnswers(seen.size());
     for (size_t i = 0; i < seen.size(); ++i) {
-        firstTokens[i].setPart(seen[i].first);
-        firstTokens[i].setMillisAgo(millisAgo(seen[i].second));
+        answers[i].setSubject(seen[i].first);
+        answers[i].setMillisAgo(millisAgo(seen[i].second));
     }
-    if (const auto last = tokens.last())
-        request.initAnyFirstToken().setMillisAgo(millisAgo(*last));
+    if (const auto last = times.last())
+        request.initAnyAnswer().setMillisAgo(millisAgo(*last));
 }
 
 // The attempt that hangs was made while the replica did not run.
@@ -407,10 +399,10 @@
         for (const auto item : reply.getSuspects())
             suspects.push_back({ item.getFingerprint(), readStatus(item.getStanding()) });
         suspects_.assign(address, suspects);
-        link.watchedParts.clear();
+        link.watched.clear();
         for (const SuspectRequest &item : suspects) {
             if (item.status == SuspicionStatus::Suspect)
-                link.watchedParts.push_back(item.fingerprint);
+                link.watched.push_back(item.fingerprint);
         }
     }
     if (!table_ || reply.getRoutesVersion() > table_->version())
@@ -550,26 +542,18 @@
     }
 }
 
-void SyncTask::reportCrash(const Crash &crash)
-{
-    crashes_.add(crash); // goes with the next report
-    logEvent(LogLevel::Info, "endpoint_broke_off",
-             { { "fingerprint", fmt::format("{:016x}", crash.fingerprint) },
-               { "crash", crash.name } });
-}
-
 void SyncTask::reportLeaving(Incarnation endpoint)
 {
     leavingEndpoints_.add(std::move(endpoint));
 }
 
-void SyncTask::reportPartCrash(PartCrash crash)
+void SyncTask::reportCrashEvidence(CrashEvidence crash)
 {
-    logEvent(LogLevel::Info, "part_suspected",
-             { { "part", fmt::format("{:016x}", crash.part) },
+    logEvent(LogLevel::Info, "crash_suspected",
+             { { "fingerprint", fmt::format("{:016x}", crash.subject) },
                { "crash", crashName(crash.endpoint, crash.startMillis) },
                { "waited_ms", fmt::to_string(toMillis(crash.brokeAt - crash.sentAt)) } });
-    partCrashes_.add(std::move(crash));
+    crashEvidence_.add(std::move(crash));
     syncSoon();
 }
 
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -16,8 +16,8 @@
 #include <string>
 #include <vector>
 
+#include "control/crashsuspects.h"
 #include "control/documentpiece.h"
-#include "control/partsuspects.h"
 #include "control/suspectlists.h"
 #include "fleet/placementlog.h"
 #include "fleet/reportlog.h"
@@ -27,19 +27,12 @@
 #include "fleet/worksums.h"
 #include "node/eventloop.h"
 #include "node/peers.h"
-#include "routing/firsttokens.h"
+#include "routing/answertimes.h"
 #include "routing/routetable.h"
 #include "routing/warmupratelimiter.h"
 
 namespace bamboogap {
 
-// A crash of an endpoint under a request.
-struct Crash
-{
-    Fingerprint fingerprint = 0;
-    std::string name; // of the crash: endpoint and birth
-};
-
 // An incarnation of an endpoint of which an answer tells something.
 struct Incarnation
 {
@@ -65,7 +58,7 @@
         std::function<std::vector<EndpointUse>()> uses;
         std::function<std::vector<PromptPlacement>()> takePlacements;
         std::function<void(std::span<const PromptPlacement>)> learn;
-        std::function<const FirstTokens &()> firstTokens;
+        std::function<const AnswerTimes &()> answerTimes;
         std::function<Result<RouteTable>(std::string_view)> parseRoutes;
         // Something of the below has changed.
         std::function<void()> changed;
@@ -76,11 +69,10 @@
     void start();
     // Tells the replicas that this router ends.
     void leave();
-    void reportCrash(const Crash &crash);
     // Goes to all replicas with the next report.
     void reportLeaving(Incarnation endpoint);
     // Goes to all replicas at once, since each crash that follows costs an engine's batch.
-    void reportPartCrash(PartCrash crash);
+    void reportCrashEvidence(CrashEvidence crash);
     // An endpoint that was reported to have crashed goes on.
     void reportLiving(Incarnation endpoint);
     void setSeeds(std::vector<std::string> seeds);
@@ -125,11 +117,11 @@
         Instant answeredAt {};
         Instant askAgainAt {};
         Duration retryAfter {};
-        uint64_t crashesSent = 0; // position in crashes_ up to which the replica has them
-        uint64_t leavingSent = 0; // the same of leavingEndpoints_
-        uint64_t partCrashesSent = 0; // of partCrashes_
-        uint64_t livingSent = 0; // of livingEndpoints_
-        std::vector<Fingerprint> watchedParts; // that the replica suspects
+        // Position in leavingEndpoints_ up to which the replica has them.
+        uint64_t leavingSent = 0;
+        uint64_t evidenceSent = 0; // the same of crashEvidence_
+        uint64_t livingSent = 0; // and of livingEndpoints_
+        std::vector<Fingerprint> watched; // that the replica suspects
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
         uint64_t placementsVersion = 0; // of others' placements, if it is their source
     };
@@ -185,9 +177,8 @@
     SharerCount sharers_;
     bool hadPredecessor_ = false;
     SuspectLists suspects_;
-    ReportLog<Crash> crashes_;
     ReportLog<Incarnation> leavingEndpoints_;
-    ReportLog<PartCrash> partCrashes_;
+    ReportLog<CrashEvidence> crashEvidence_;
     ReportLog<Incarnation> livingEndpoints_;
     bool syncSoon_ = false;
     PlacementLog placements_; // of this router, until every replica has them
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -226,17 +226,17 @@
   crash @1 :Text;  # names the crash: endpoint and its birth
 }
 
-# A request with the part waited for its first token when its engine crashed.
-struct PartCrash {
-  part @0 :UInt64;
+# A request waited for its answer when its endpoint crashed.
+struct CrashEvidence {
+  subject @0 :UInt64;  # the request's fingerprint, or a part of its prompt
   endpoint @1 :Text;
   bornMillis @2 :Int64;
   sentMillisAgo @3 :UInt32;
   brokeMillisAgo @4 :UInt32;
 }
 
-struct FirstToken {
-  part @0 :UInt64;
+struct LastAnswer {
+  subject @0 :UInt64;
   millisAgo @1 :UInt32;
 }
 
@@ -263,7 +263,7 @@
   rosterEpoch @3 :UInt64;  # of the replica's roster that the router knows
   rosterVersion @4 :UInt64;
   uses @5 :List(EndpointUse);
-  crashes @6 :List(CrashReport);  # since the last sync that was answered
+  crashes @6 :List(CrashReport);  # not used any more; see crashEvidence
   suspectsVersion @7 :UInt64;
   leaving @8 :Bool;
   routesVersion @9 :UInt64;  # that the router acts by
@@ -274,9 +274,9 @@
   leavingEndpoints @14 :List(LeavingEndpoint);  # since the last sync that was answered
   reportsToSourceOnly @15 :Bool;  # uses are told to the replica with wantsOthers only
   peerAddress @16 :Text;  # of the router; empty if the replica was told it before
-  partCrashes @17 :List(PartCrash);  # since the last sync that was answered
-  firstTokens @18 :List(FirstToken);  # the last of each part that the replica suspects
-  anyFirstToken @19 :FirstToken;  # the last of any request; null if there was none
+  crashEvidence @17 :List(CrashEvidence);  # since the last sync that was answered
+  lastAnswers @18 :List(LastAnswer);  # to requests with what the replica suspects
+  anyAnswer @19 :LastAnswer;  # the last to any request; null if there was none
   livingEndpoints @20 :List(LeavingEndpoint);  # reported to have crashed, and answered since
 }
 
--- a/node/wire.capnp.cc
+++ b/node/wire.capnp.cc
@@ -2859,28 +2859,29 @@
   0, 2, i_adae6e5e44840763, nullptr, nullptr, { &s_adae6e5e44840763, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<96> b_86418119d4cfcce9 = {
+static const ::capnp::_::AlignedData<97> b_a6458d6ab03cfc9d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    233, 204, 207, 212,  25, 129,  65, 134,
+    157, 252,  60, 176, 106, 141,  69, 166,
      11,   0,   0,   0,   1,   0,   3,   0,
     133, 147, 110,  75, 240, 209, 167, 194,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 170,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  31,   1,   0,   0,
+     29,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
-    110, 112,  58,  80,  97, 114, 116,  67,
-    114,  97, 115, 104,   0,   0,   0,   0,
+    110, 112,  58,  67, 114,  97, 115, 104,
+     69, 118, 105, 100, 101, 110,  99, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      20,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,  42,   0,   0,   0,
+    125,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     120,   0,   0,   0,   3,   0,   1,   0,
     132,   0,   0,   0,   2,   0,   1,   0,
@@ -2912,7 +2913,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     152,   0,   0,   0,   3,   0,   1,   0,
     164,   0,   0,   0,   2,   0,   1,   0,
-    112,  97, 114, 116,   0,   0,   0,   0,
+    115, 117,  98, 106, 101,  99, 116,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2957,18 +2958,18 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_86418119d4cfcce9 = b_86418119d4cfcce9.words;
+::capnp::word const* const bp_a6458d6ab03cfc9d = b_a6458d6ab03cfc9d.words;
 #if !CAPNP_LITE
-static const uint16_t m_86418119d4cfcce9[] = {2, 4, 1, 0, 3};
-static const uint16_t i_86418119d4cfcce9[] = {0, 1, 2, 3, 4};
-const ::capnp::_::RawSchema s_86418119d4cfcce9 = {
-  0x86418119d4cfcce9, b_86418119d4cfcce9.words, 96, nullptr, m_86418119d4cfcce9,
-  0, 5, i_86418119d4cfcce9, nullptr, nullptr, { &s_86418119d4cfcce9, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a6458d6ab03cfc9d[] = {2, 4, 1, 3, 0};
+static const uint16_t i_a6458d6ab03cfc9d[] = {0, 1, 2, 3, 4};
+const ::capnp::_::RawSchema s_a6458d6ab03cfc9d = {
+  0xa6458d6ab03cfc9d, b_a6458d6ab03cfc9d.words, 97, nullptr, m_a6458d6ab03cfc9d,
+  0, 5, i_a6458d6ab03cfc9d, nullptr, nullptr, { &s_a6458d6ab03cfc9d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_ec87907a5dd5db35 = {
+static const ::capnp::_::AlignedData<48> b_b4ac52d4fb391174 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     53, 219, 213,  93, 122, 144, 135, 236,
+    116,  17,  57, 251, 212,  82, 172, 180,
      11,   0,   0,   0,   1,   0,   2,   0,
     133, 147, 110,  75, 240, 209, 167, 194,
       0,   0,   7,   0,   0,   0,   0,   0,
@@ -2980,14 +2981,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
-    110, 112,  58,  70, 105, 114, 115, 116,
-     84, 111, 107, 101, 110,   0,   0,   0,
+    110, 112,  58,  76,  97, 115, 116,  65,
+    110, 115, 119, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  42,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      36,   0,   0,   0,   3,   0,   1,   0,
      48,   0,   0,   0,   2,   0,   1,   0,
@@ -2998,7 +2999,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      44,   0,   0,   0,   3,   0,   1,   0,
      56,   0,   0,   0,   2,   0,   1,   0,
-    112,  97, 114, 116,   0,   0,   0,   0,
+    115, 117,  98, 106, 101,  99, 116,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -3016,13 +3017,13 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_ec87907a5dd5db35 = b_ec87907a5dd5db35.words;
+::capnp::word const* const bp_b4ac52d4fb391174 = b_b4ac52d4fb391174.words;
 #if !CAPNP_LITE
-static const uint16_t m_ec87907a5dd5db35[] = {1, 0};
-static const uint16_t i_ec87907a5dd5db35[] = {0, 1};
-const ::capnp::_::RawSchema s_ec87907a5dd5db35 = {
-  0xec87907a5dd5db35, b_ec87907a5dd5db35.words, 48, nullptr, m_ec87907a5dd5db35,
-  0, 2, i_ec87907a5dd5db35, nullptr, nullptr, { &s_ec87907a5dd5db35, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_b4ac52d4fb391174[] = {1, 0};
+static const uint16_t i_b4ac52d4fb391174[] = {0, 1};
+const ::capnp::_::RawSchema s_b4ac52d4fb391174 = {
+  0xb4ac52d4fb391174, b_b4ac52d4fb391174.words, 48, nullptr, m_b4ac52d4fb391174,
+  0, 2, i_b4ac52d4fb391174, nullptr, nullptr, { &s_b4ac52d4fb391174, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_ce0a718398872f24 = {
@@ -3350,7 +3351,7 @@
      17,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   1,   0,  17,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   3,   0,   0,  98,   0,   0,   0,
+      1,   3,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   3,   0,   0,   3,   0,   1,   0,
      28,   3,   0,   0,   2,   0,   1,   0,
@@ -3364,7 +3365,7 @@
      19,   0,   0,   0,   9,   0,   0,   0,
       0,   0,   1,   0,  19,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   3,   0,   0, 114,   0,   0,   0,
+     49,   3,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      48,   3,   0,   0,   3,   0,   1,   0,
      60,   3,   0,   0,   2,   0,   1,   0,
@@ -3543,36 +3544,36 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112,  97, 114, 116,  67, 114,  97, 115,
-    104, 101, 115,   0,   0,   0,   0,   0,
+     99, 114,  97, 115, 104,  69, 118, 105,
+    100, 101, 110,  99, 101,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    233, 204, 207, 212,  25, 129,  65, 134,
+    157, 252,  60, 176, 106, 141,  69, 166,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    102, 105, 114, 115, 116,  84, 111, 107,
-    101, 110, 115,   0,   0,   0,   0,   0,
+    108,  97, 115, 116,  65, 110, 115, 119,
+    101, 114, 115,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-     53, 219, 213,  93, 122, 144, 135, 236,
+    116,  17,  57, 251, 212,  82, 172, 180,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97, 110, 121,  70, 105, 114, 115, 116,
-     84, 111, 107, 101, 110,   0,   0,   0,
+     97, 110, 121,  65, 110, 115, 119, 101,
+    114,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-     53, 219, 213,  93, 122, 144, 135, 236,
+    116,  17,  57, 251, 212,  82, 172, 180,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -3595,14 +3596,14 @@
 ::capnp::word const* const bp_9079cdf40b7c7355 = b_9079cdf40b7c7355.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_9079cdf40b7c7355[] = {
-  &s_86418119d4cfcce9,
+  &s_a6458d6ab03cfc9d,
   &s_adae6e5e44840763,
   &s_b4717f845e96b26c,
+  &s_b4ac52d4fb391174,
   &s_b60c2c4b174015c3,
   &s_ba2f66fed2b87cd7,
-  &s_ec87907a5dd5db35,
 };
-static const uint16_t m_9079cdf40b7c7355[] = {19, 6, 2, 18, 1, 8, 14, 20, 17, 16, 10, 12, 13, 15, 3, 4, 0, 9, 7, 5, 11};
+static const uint16_t m_9079cdf40b7c7355[] = {19, 17, 6, 2, 1, 18, 8, 14, 20, 16, 10, 12, 13, 15, 3, 4, 0, 9, 7, 5, 11};
 static const uint16_t i_9079cdf40b7c7355[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20};
 const ::capnp::_::RawSchema s_9079cdf40b7c7355 = {
   0x9079cdf40b7c7355, b_9079cdf40b7c7355.words, 380, d_9079cdf40b7c7355, m_9079cdf40b7c7355,
@@ -6754,20 +6755,20 @@
 constexpr ::capnp::_::RawSchema const* CrashReport::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// PartCrash
-constexpr uint16_t PartCrash::_capnpPrivate::dataWordSize;
-constexpr uint16_t PartCrash::_capnpPrivate::pointerCount;
+// CrashEvidence
+constexpr uint16_t CrashEvidence::_capnpPrivate::dataWordSize;
+constexpr uint16_t CrashEvidence::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind PartCrash::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* PartCrash::_capnpPrivate::schema;
+constexpr ::capnp::Kind CrashEvidence::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* CrashEvidence::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// FirstToken
-constexpr uint16_t FirstToken::_capnpPrivate::dataWordSize;
-constexpr uint16_t FirstToken::_capnpPrivate::pointerCount;
+// LastAnswer
+constexpr uint16_t LastAnswer::_capnpPrivate::dataWordSize;
+constexpr uint16_t LastAnswer::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind FirstToken::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* FirstToken::_capnpPrivate::schema;
+constexpr ::capnp::Kind LastAnswer::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* LastAnswer::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // ChainPart
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -55,8 +55,8 @@
 CAPNP_DECLARE_SCHEMA(88e3d92a5762b4fb);
 CAPNP_DECLARE_SCHEMA(b4717f845e96b26c);
 CAPNP_DECLARE_SCHEMA(adae6e5e44840763);
-CAPNP_DECLARE_SCHEMA(86418119d4cfcce9);
-CAPNP_DECLARE_SCHEMA(ec87907a5dd5db35);
+CAPNP_DECLARE_SCHEMA(a6458d6ab03cfc9d);
+CAPNP_DECLARE_SCHEMA(b4ac52d4fb391174);
 CAPNP_DECLARE_SCHEMA(ce0a718398872f24);
 CAPNP_DECLARE_SCHEMA(b60c2c4b174015c3);
 CAPNP_DECLARE_SCHEMA(ba2f66fed2b87cd7);
@@ -463,30 +463,30 @@
   };
 };
 
-struct PartCrash {
-  PartCrash() = delete;
+struct CrashEvidence {
+  CrashEvidence() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(86418119d4cfcce9, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a6458d6ab03cfc9d, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct FirstToken {
-  FirstToken() = delete;
+struct LastAnswer {
+  LastAnswer() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec87907a5dd5db35, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b4ac52d4fb391174, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3854,9 +3854,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PartCrash::Reader {
+class CrashEvidence::Reader {
 public:
-  typedef PartCrash Reads;
+  typedef CrashEvidence Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3871,7 +3871,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPart() const;
+  inline  ::uint64_t getSubject() const;
 
   inline bool hasEndpoint() const;
   inline  ::capnp::Text::Reader getEndpoint() const;
@@ -3894,9 +3894,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PartCrash::Builder {
+class CrashEvidence::Builder {
 public:
-  typedef PartCrash Builds;
+  typedef CrashEvidence Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3910,8 +3910,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPart();
-  inline void setPart( ::uint64_t value);
+  inline  ::uint64_t getSubject();
+  inline void setSubject( ::uint64_t value);
 
   inline bool hasEndpoint();
   inline  ::capnp::Text::Builder getEndpoint();
@@ -3939,9 +3939,9 @@
 };
 
 #if !CAPNP_LITE
-class PartCrash::Pipeline {
+class CrashEvidence::Pipeline {
 public:
-  typedef PartCrash Pipelines;
+  typedef CrashEvidence Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3955,9 +3955,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class FirstToken::Reader {
+class LastAnswer::Reader {
 public:
-  typedef FirstToken Reads;
+  typedef LastAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3972,7 +3972,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPart() const;
+  inline  ::uint64_t getSubject() const;
 
   inline  ::uint32_t getMillisAgo() const;
 
@@ -3988,9 +3988,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FirstToken::Builder {
+class LastAnswer::Builder {
 public:
-  typedef FirstToken Builds;
+  typedef LastAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4004,8 +4004,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPart();
-  inline void setPart( ::uint64_t value);
+  inline  ::uint64_t getSubject();
+  inline void setSubject( ::uint64_t value);
 
   inline  ::uint32_t getMillisAgo();
   inline void setMillisAgo( ::uint32_t value);
@@ -4020,9 +4020,9 @@
 };
 
 #if !CAPNP_LITE
-class FirstToken::Pipeline {
+class LastAnswer::Pipeline {
 public:
-  typedef FirstToken Pipelines;
+  typedef LastAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4347,14 +4347,14 @@
   inline bool hasPeerAddress() const;
   inline  ::capnp::Text::Reader getPeerAddress() const;
 
-  inline bool hasPartCrashes() const;
-  inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader getPartCrashes() const;
+  inline bool hasCrashEvidence() const;
+  inline  ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader getCrashEvidence() const;
 
-  inline bool hasFirstTokens() const;
-  inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader getFirstTokens() const;
+  inline bool hasLastAnswers() const;
+  inline  ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Reader getLastAnswers() const;
 
-  inline bool hasAnyFirstToken() const;
-  inline  ::bamboogap::wire::FirstToken::Reader getAnyFirstToken() const;
+  inline bool hasAnyAnswer() const;
+  inline  ::bamboogap::wire::LastAnswer::Reader getAnyAnswer() const;
 
   inline bool hasLivingEndpoints() const;
   inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader getLivingEndpoints() const;
@@ -4466,26 +4466,26 @@
   inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
 
-  inline bool hasPartCrashes();
-  inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder getPartCrashes();
-  inline void setPartCrashes( ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder initPartCrashes(unsigned int size);
-  inline void adoptPartCrashes(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>> disownPartCrashes();
-
-  inline bool hasFirstTokens();
-  inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder getFirstTokens();
-  inline void setFirstTokens( ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder initFirstTokens(unsigned int size);
-  inline void adoptFirstTokens(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>> disownFirstTokens();
-
-  inline bool hasAnyFirstToken();
-  inline  ::bamboogap::wire::FirstToken::Builder getAnyFirstToken();
-  inline void setAnyFirstToken( ::bamboogap::wire::FirstToken::Reader value);
-  inline  ::bamboogap::wire::FirstToken::Builder initAnyFirstToken();
-  inline void adoptAnyFirstToken(::capnp::Orphan< ::bamboogap::wire::FirstToken>&& value);
-  inline ::capnp::Orphan< ::bamboogap::wire::FirstToken> disownAnyFirstToken();
+  inline bool hasCrashEvidence();
+  inline  ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder getCrashEvidence();
+  inline void setCrashEvidence( ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder initCrashEvidence(unsigned int size);
+  inline void adoptCrashEvidence(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>> disownCrashEvidence();
+
+  inline bool hasLastAnswers();
+  inline  ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Builder getLastAnswers();
+  inline void setLastAnswers( ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Builder initLastAnswers(unsigned int size);
+  inline void adoptLastAnswers(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>> disownLastAnswers();
+
+  inline bool hasAnyAnswer();
+  inline  ::bamboogap::wire::LastAnswer::Builder getAnyAnswer();
+  inline void setAnyAnswer( ::bamboogap::wire::LastAnswer::Reader value);
+  inline  ::bamboogap::wire::LastAnswer::Builder initAnyAnswer();
+  inline void adoptAnyAnswer(::capnp::Orphan< ::bamboogap::wire::LastAnswer>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::LastAnswer> disownAnyAnswer();
 
   inline bool hasLivingEndpoints();
   inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Builder getLivingEndpoints();
@@ -4512,7 +4512,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::bamboogap::wire::FirstToken::Pipeline getAnyFirstToken();
+  inline  ::bamboogap::wire::LastAnswer::Pipeline getAnyAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -11488,120 +11488,120 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PartCrash::Reader::getPart() const {
+inline  ::uint64_t CrashEvidence::Reader::getSubject() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PartCrash::Builder::getPart() {
+inline  ::uint64_t CrashEvidence::Builder::getSubject() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PartCrash::Builder::setPart( ::uint64_t value) {
+inline void CrashEvidence::Builder::setSubject( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PartCrash::Reader::hasEndpoint() const {
+inline bool CrashEvidence::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PartCrash::Builder::hasEndpoint() {
+inline bool CrashEvidence::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PartCrash::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader CrashEvidence::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PartCrash::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder CrashEvidence::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PartCrash::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void CrashEvidence::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PartCrash::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder CrashEvidence::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PartCrash::Builder::adoptEndpoint(
+inline void CrashEvidence::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PartCrash::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> CrashEvidence::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t PartCrash::Reader::getBornMillis() const {
+inline  ::int64_t CrashEvidence::Reader::getBornMillis() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t PartCrash::Builder::getBornMillis() {
+inline  ::int64_t CrashEvidence::Builder::getBornMillis() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PartCrash::Builder::setBornMillis( ::int64_t value) {
+inline void CrashEvidence::Builder::setBornMillis( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PartCrash::Reader::getSentMillisAgo() const {
+inline  ::uint32_t CrashEvidence::Reader::getSentMillisAgo() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PartCrash::Builder::getSentMillisAgo() {
+inline  ::uint32_t CrashEvidence::Builder::getSentMillisAgo() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PartCrash::Builder::setSentMillisAgo( ::uint32_t value) {
+inline void CrashEvidence::Builder::setSentMillisAgo( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PartCrash::Reader::getBrokeMillisAgo() const {
+inline  ::uint32_t CrashEvidence::Reader::getBrokeMillisAgo() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PartCrash::Builder::getBrokeMillisAgo() {
+inline  ::uint32_t CrashEvidence::Builder::getBrokeMillisAgo() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PartCrash::Builder::setBrokeMillisAgo( ::uint32_t value) {
+inline void CrashEvidence::Builder::setBrokeMillisAgo( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t FirstToken::Reader::getPart() const {
+inline  ::uint64_t LastAnswer::Reader::getSubject() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FirstToken::Builder::getPart() {
+inline  ::uint64_t LastAnswer::Builder::getSubject() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FirstToken::Builder::setPart( ::uint64_t value) {
+inline void LastAnswer::Builder::setSubject( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t FirstToken::Reader::getMillisAgo() const {
+inline  ::uint32_t LastAnswer::Reader::getMillisAgo() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t FirstToken::Builder::getMillisAgo() {
+inline  ::uint32_t LastAnswer::Builder::getMillisAgo() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void FirstToken::Builder::setMillisAgo( ::uint32_t value) {
+inline void LastAnswer::Builder::setMillisAgo( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
@@ -12108,110 +12108,110 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool SyncRequest::Reader::hasPartCrashes() const {
+inline bool SyncRequest::Reader::hasCrashEvidence() const {
   return !_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncRequest::Builder::hasPartCrashes() {
+inline bool SyncRequest::Builder::hasCrashEvidence() {
   return !_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getPartCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getCrashEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getPartCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getCrashEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void SyncRequest::Builder::setPartCrashes( ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncRequest::Builder::setCrashEvidence( ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initPartCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initCrashEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void SyncRequest::Builder::adoptPartCrashes(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SyncRequest::Builder::adoptCrashEvidence(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownPartCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::PartCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownCrashEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool SyncRequest::Reader::hasFirstTokens() const {
+inline bool SyncRequest::Reader::hasLastAnswers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncRequest::Builder::hasFirstTokens() {
+inline bool SyncRequest::Builder::hasLastAnswers() {
   return !_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getFirstTokens() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getLastAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getFirstTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getLastAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void SyncRequest::Builder::setFirstTokens( ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void SyncRequest::Builder::setLastAnswers( ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initFirstTokens(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initLastAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void SyncRequest::Builder::adoptFirstTokens(
-    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SyncRequest::Builder::adoptLastAnswers(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownFirstTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::FirstToken,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownLastAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LastAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool SyncRequest::Reader::hasAnyFirstToken() const {
+inline bool SyncRequest::Reader::hasAnyAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline bool SyncRequest::Builder::hasAnyFirstToken() {
+inline bool SyncRequest::Builder::hasAnyAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline  ::bamboogap::wire::FirstToken::Reader SyncRequest::Reader::getAnyFirstToken() const {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::get(_reader.getPointerField(
+inline  ::bamboogap::wire::LastAnswer::Reader SyncRequest::Reader::getAnyAnswer() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LastAnswer>::get(_reader.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline  ::bamboogap::wire::FirstToken::Builder SyncRequest::Builder::getAnyFirstToken() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::get(_builder.getPointerField(
+inline  ::bamboogap::wire::LastAnswer::Builder SyncRequest::Builder::getAnyAnswer() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LastAnswer>::get(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::bamboogap::wire::FirstToken::Pipeline SyncRequest::Pipeline::getAnyFirstToken() {
-  return  ::bamboogap::wire::FirstToken::Pipeline(_typeless.getPointerField(9));
+inline  ::bamboogap::wire::LastAnswer::Pipeline SyncRequest::Pipeline::getAnyAnswer() {
+  return  ::bamboogap::wire::LastAnswer::Pipeline(_typeless.getPointerField(9));
 }
 #endif  // !CAPNP_LITE
-inline void SyncRequest::Builder::setAnyFirstToken( ::bamboogap::wire::FirstToken::Reader value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::set(_builder.getPointerField(
+inline void SyncRequest::Builder::setAnyAnswer( ::bamboogap::wire::LastAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::LastAnswer>::set(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline  ::bamboogap::wire::FirstToken::Builder SyncRequest::Builder::initAnyFirstToken() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::init(_builder.getPointerField(
+inline  ::bamboogap::wire::LastAnswer::Builder SyncRequest::Builder::initAnyAnswer() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LastAnswer>::init(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void SyncRequest::Builder::adoptAnyFirstToken(
-    ::capnp::Orphan< ::bamboogap::wire::FirstToken>&& value) {
-  ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::adopt(_builder.getPointerField(
+inline void SyncRequest::Builder::adoptAnyAnswer(
+    ::capnp::Orphan< ::bamboogap::wire::LastAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::LastAnswer>::adopt(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::bamboogap::wire::FirstToken> SyncRequest::Builder::disownAnyFirstToken() {
-  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FirstToken>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::bamboogap::wire::LastAnswer> SyncRequest::Builder::disownAnyAnswer() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::LastAnswer>::disown(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -812,6 +812,38 @@
     assert status == 503
 
 
+def resets_quarantine_nothing(fleet):
+    """Connections break under requests, but the endpoints go on: nothing is quarantined."""
+    for number in range(4):
+        fleet.add_endpoint(f"plain-{number}", "plain")
+        fleet.add_endpoint(f"engine-{number}", "engines")
+    set_up_endpoints(fleet)
+    rng = random.Random(5)
+
+    def reset_some(handler, endpoint):
+        if rng.random() < 0.4:
+            endpoint.reset_connection(handler)
+            return True
+        return False
+
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = reset_some
+    headers = {"X_Model": "m", "X_Token_Usage": "40,5", "X_Prefix_Hash": "f1:20,a1:10,b1:10"}
+    for number in range(60):
+        try:
+            fleet.send_request("/read/1", router=number % 2)
+            fleet.send_request("/stream/1", "POST", b"{}", router=number % 2, **headers)
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = None
+    time.sleep(2)
+    for number in range(6):
+        assert fleet.send_request("/read/1", router=number % 2)[0] == 200
+        assert fleet.send_request("/stream/1", "POST", b"{}", router=number % 2, **headers)[0] == 200
+
+
 def restart_nodes(fleet, nodes):
     """Kills the nodes, starts them again and waits until requests are served."""
     for node in nodes:
@@ -826,7 +858,27 @@
 
 def quarantine_outlives_restarts(fleet):
     """A quarantined request stays so while replicas and then all nodes restart."""
-    set_up_crashing_request(fleet)
+    set_up_endpoints(fleet)
+
+    def crash_under_request(handler, endpoint):
+        if handler.path != "/read/crash":
+            return False
+        endpoint.runs.append(handler.headers["X-Attempt-Id"])
+        if not endpoint.crashed:
+            endpoint.crash()
+            add_plain()
+        endpoint.reset_connection(handler)
+        return True
+
+    def add_plain():
+        name = f"plain-{len(fleet.endpoints)}"
+        fleet.add_endpoint(name, "plain").on_request = crash_under_request
+
+    for endpoint in fleet.endpoints[:2]:
+        endpoint.on_request = crash_under_request
+    for _ in range(6):
+        add_plain()
+    fleet.wait_for_endpoints()
 
     def send(count):
         ids = []
