Soak: check outages, with orders whose senders give up

Change: half of the orders for a data centre follow an opposite one that is sent to any replica, paused ones too, and hung up on after 50 ms; in the end the last acknowledged order has to be in force at all routers.

--- a/testing/soak.py
+++ b/testing/soak.py
@@ -31,9 +31,12 @@
 a complete stream has every event once, in order
 a draining endpoint gets no request later than DRAIN_SECONDS after the acknowledgement
 after a configuration is acknowledged, no older version is read from any replica
+the last acknowledged order for a data centre is in force in the end, also after orders for it
+whose senders gave up before
 in the end the fleet serves again, and everything that was acknowledged is present
 """
 DRAIN_SECONDS = 2.0  # the users' drainMs
+OUTAGE_PATH = "/v1/evacuations/dc3"
 SETTLE_SECONDS = 12  # the users' recoverS
 MAX_REPLICAS_DOWN = 2  # replicas that may be down, paused or empty at the same time
 
@@ -113,6 +116,7 @@
         self.rejected_orders = set()  # orders with status 503: not executed
         self.served = 0
         self.version = 7
+        self.out_of_service = False  # of dc3, as last acknowledged; None if unknown
         self.acknowledged = 7
         self.down_nodes = set()  # names of nodes that are down or may not have caught up yet
         self.stopping = threading.Event()
@@ -270,11 +274,15 @@
 
     def change_control_state(self):
         if self.random.random() < 0.3:
-            action = self.random.choice(("POST", "DELETE"))
+            action, other = self.random.sample(("POST", "DELETE"), 2)
+            if self.random.random() < 0.5:
+                self.send_and_give_up(self.random.choice(self.fleet.replicas), other)
+            self.out_of_service = None  # without a definite response either may be in force
             try:
-                self.fleet.control(action, "/v1/evacuations/dc3", limit=2)
+                if self.fleet.control(action, OUTAGE_PATH, limit=2)[0] == 200:
+                    self.out_of_service = action == "POST"
             except AssertionError:
-                pass  # no definite response: it may be in force or not
+                pass
             return
         self.version += self.random.randrange(1, 4)
         version = self.version
@@ -287,6 +295,16 @@
             self.report_problem(f"configuration {version} was refused: {body}")
         self.acknowledged = max(self.acknowledged, version)
 
+    def send_and_give_up(self, node, method):
+        """A paused replica reads the order when it goes on."""
+        self.faults.append(f"give up {method} at {node.name}")
+        try:
+            with socket.create_connection(node.address("control"), timeout=0.5) as connection:
+                connection.sendall(f"{method} {OUTAGE_PATH} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                time.sleep(0.05)
+        except OSError:
+            pass  # the replica is down
+
     def read_configurations(self):
         """Reads the configuration at one replica after another until the run ends."""
         while not self.stopping.is_set():
@@ -341,6 +359,10 @@
             wait_for(lambda: self.fleet.voters() == 5, SETTLE_SECONDS, "five voters")
             wait_for(lambda: all(router.ready() for router in self.fleet.routers),
                      SETTLE_SECONDS, "all routers are ready")
+            if self.out_of_service is not None:
+                wait_for(lambda: all(("dc3" in router.status()["data_centres_out"])
+                                     == self.out_of_service for router in self.fleet.routers),
+                         SETTLE_SECONDS, "the last order for a data centre is in force")
             before = self.served
             wait_for(lambda: self.served > before + 50, SETTLE_SECONDS, "requests are served")
             status, _, body = self.fleet.control("GET", "/v1/configuration")
