Tests: explicit widths and checked results, as clang-tidy asks

Cause: clang-tidy rejects products of int passed as int64_t and an unused result of bind() in the new tests. Change: int64_t loop variables; REQUIRE on bind().

--- a/control/testing/crashsuspects_test.cc
+++ b/control/testing/crashsuspects_test.cc
@@ -26,12 +26,12 @@
 }
 
 // A crash of engine `number`, some 100 ms after the request was sent to it.
-CrashEvidence crash(Fingerprint part, int number, int64_t millis, int64_t sentMillis)
+CrashEvidence crash(Fingerprint part, int64_t number, int64_t millis, int64_t sentMillis)
 {
     return { part, "e" + std::to_string(number), 1, at(sentMillis), at(millis) };
 }
 
-CrashEvidence crash(Fingerprint part, int number, int64_t millis)
+CrashEvidence crash(Fingerprint part, int64_t number, int64_t millis)
 {
     return crash(part, number, millis, millis - 100);
 }
@@ -72,7 +72,7 @@
 {
     CrashSuspects suspects;
     suspects.recordAnyAnswer(at(9000));
-    for (int i = 0; i < 10; ++i)
+    for (int64_t i = 0; i < 10; ++i)
         suspects.recordCrash(crash(kPart, i, 1000 + i, 900));
     CHECK(suspects.quarantine(at(9000), kDelay).empty());
 }
@@ -81,7 +81,7 @@
 {
     CrashSuspects suspects;
     suspects.recordAnyAnswer(at(900));
-    for (int i = 0; i < 5; ++i) {
+    for (int64_t i = 0; i < 5; ++i) {
         suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
         suspects.recordCrash(crash(kPart + 1, 10 + i, 1000 * (i + 1) + 100));
     }
@@ -93,7 +93,7 @@
 TEST_CASE("a request that crashes endpoints is quarantined, also if it is the only one")
 {
     CrashSuspects suspects;
-    for (int i = 0; i < 3; ++i) {
+    for (int64_t i = 0; i < 3; ++i) {
         suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
         suspects.recordCrash(crash(kPart + 1, i, 1000 * (i + 1))); // a part of it
     }
@@ -104,7 +104,7 @@
 {
     CrashSuspects suspects;
     suspects.recordAnyAnswer(at(9000));
-    for (int i = 0; i < 3; ++i)
+    for (int64_t i = 0; i < 3; ++i)
         suspects.recordCrash(crash(kPart, i, 1000 + 200 * i));
     CHECK(suspects.quarantine(at(1900), kDelay).empty()); // its report may be on the way
     CHECK(suspects.quarantine(at(2000), kDelay).size() == 1);
@@ -118,7 +118,7 @@
 {
     CrashSuspects suspects;
     suspects.recordAnyAnswer(at(9000));
-    for (int i = 0; i < 3; ++i)
+    for (int64_t i = 0; i < 3; ++i)
         suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
     REQUIRE(suspects.quarantine(at(4000), kDelay).size() == 1);
     suspects.withdrawCrash("e1", 2); // another incarnation
@@ -147,7 +147,7 @@
     constexpr Fingerprint kCompanion = 8;
     CrashSuspects suspects;
     suspects.recordAnyAnswer(at(9000));
-    for (int i = 0; i < 4; ++i) {
+    for (int64_t i = 0; i < 4; ++i) {
         suspects.recordCrash(crash(kPart, i, 1000 * (i + 1)));
         suspects.recordCrash(crash(kCompanion, i, 1000 * (i + 1)));
         suspects.recordAnswer(kCompanion, at(500)); // before the first crash
@@ -156,7 +156,7 @@
     REQUIRE(verdicts.size() == 1);
     CHECK(verdicts[0].subject == kPart);
     // Crashes without the quarantined part count.
-    for (int i = 10; i < 13; ++i)
+    for (int64_t i = 10; i < 13; ++i)
         suspects.recordCrash(crash(kCompanion, i, 1000 * i));
     suspects.recordAnyAnswer(at(13000));
     CHECK(suspects.quarantine(at(14000), kDelay).size() == 1);
--- a/node/testing/peers_test.cc
+++ b/node/testing/peers_test.cc
@@ -22,7 +22,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size);
+    REQUIRE(bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size) == 0);
     getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
     close(descriptor);
     return ntohs(address.sin_port);
