Bound the work that evidence of crashes costs a replica

Cause, read in the diff: each report of a router went through all suspects, and a leader whose log stood still would have proposed the same quarantine again with each report: in a fleet of 200 routers some 125 times a second. Change: evidence is looked at 20 times a second at most; a quarantine is committed when it begins and tried again with the tick of half a second.

--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -38,6 +38,8 @@
 constexpr Duration kLeastEvidenceDelay = std::chrono::seconds(1);
 constexpr Duration kEvidencePerRouter = std::chrono::milliseconds(8);
 constexpr size_t kMaxWatched = 128;
+// Between two looks at the evidence, which takes a while if there are many suspects.
+constexpr Duration kQuarantineCheck = std::chrono::milliseconds(50);
 
 // Placements told in one answer. All routers together get so many in a round of
 // reports, so that a large fleet's news leaves a replica's link to the log: a placement
@@ -227,6 +229,7 @@
         rememberFleet(now);
         crashSuspects_.expire(now);
         quarantineSuspects(now);
+        commitQuarantine();
         metrics_.set("bamboogap_roster_endpoints", {}, double(roster_.size()));
         metrics_.set("bamboogap_routes_version", {}, double(control_.deployment().version()));
         metrics_.set("bamboogap_replica_current", {}, control_.isCurrent() ? 1 : 0);
@@ -509,7 +512,8 @@
     ++quarantineVersion_;
 }
 
-// A quarantine that only this process knew would end with it.
+// A quarantine that only this process knew would end with it. Tried again from time to time: the
+// leader may have changed.
 void ReplicaFront::commitQuarantine()
 {
     if (!control_.maySpeak())
@@ -539,11 +543,13 @@
                  { { "endpoint", std::string(toView(endpoint.getId())) },
                    { "told_by", std::string(router) } });
     }
-    quarantineSuspects(now);
+    if (now - quarantineCheckedAt_ >= kQuarantineCheck)
+        quarantineSuspects(now);
 }
 
 void ReplicaFront::quarantineSuspects(Instant now)
 {
+    quarantineCheckedAt_ = now;
     const Duration evidenceDelay
             = kLeastEvidenceDelay + routers_.aliveCount(now) * kEvidencePerRouter;
     for (auto &verdict : crashSuspects_.quarantine(now, evidenceDelay)) {
@@ -551,6 +557,8 @@
                  { { "fingerprint", fmt::format("{:016x}", verdict.subject) },
                    { "crashes", fmt::format("{}", fmt::join(verdict.crashes, ",")) } });
         metrics_.count("bamboogap_quarantined_total");
+        if (control_.maySpeak())
+            commitCrashes(verdict.subject, verdict.crashes);
         quarantinedHere_[verdict.subject] = std::move(verdict.crashes);
     }
     for (const Fingerprint subject : crashSuspects_.takeReleased()) {
@@ -562,7 +570,6 @@
             liftCommitted(subject);
     }
     refreshQuarantine();
-    commitQuarantine();
 }
 
 void ReplicaFront::liftCommitted(Fingerprint fingerprint)
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -147,6 +147,7 @@
     DocumentHistory documents_;
     DocumentDistributor spread_;
     CrashSuspects crashSuspects_;
+    Instant quarantineCheckedAt_ {};
     // By the evidence of this process, with the crashes.
     std::map<Fingerprint, std::vector<std::string>> quarantinedHere_;
     // What is told to the routers: what they are to refuse, and what they are to report answers of.
