--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -51,7 +51,7 @@
     active.head = dialect_.readAnswer(status, headers);
     if (active.head.keepAlive)
         pool_.setKeepAlive(active.call, *active.head.keepAlive);
-    // Without an id it may belong to an earlier request, unless that could not be.
+    // A refusal without an id may be left from an earlier request on the same connection.
     const bool own = active.head.requestId == active.caller.id;
     const bool foreign = !own
             && (!active.head.requestId.empty()
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -91,7 +91,7 @@
     };
     kj::Promise<Result<Document>> newestDocument();
     void answerCommit(ExchangeId exchange, std::string what,
-                      kj::Promise<Result<AppliedAnswer>> committed);
+                      kj::Promise<Result<AppliedAnswer>> committing);
     void reply(ExchangeId exchange, int status, std::string body);
     void replyError(ExchangeId exchange, const Error &error);
     // Acknowledges a departure once a majority of the replicas holds it.
@@ -148,15 +148,14 @@
     DocumentDistributor spread_;
     CrashSuspects crashSuspects_;
     Instant quarantineCheckedAt_ {};
-    // By the evidence of this process, with the crashes.
+    // Quarantined by the evidence that this process has, with the names of the crashes.
     std::map<Fingerprint, std::vector<std::string>> quarantinedHere_;
-    // What is told to the routers: what they are to refuse, and what they are to report answers of.
-    std::vector<SuspectRequest> told_;
-    // Those of the log, which outlive this process, as last seen at a version of the log's
-    // suspects.
+    // Quarantined in the log, and so beyond the life of this process; at this version of it.
     std::set<Fingerprint> committedQuarantine_;
     uint64_t committedVersion_ = 0;
-    // Changes with told_; differs from that of an earlier process.
+    // Told to the routers: quarantined ones are to be refused, and answers to requests with
+    // suspected ones to be reported. The version differs from those of an earlier process.
+    std::vector<SuspectRequest> told_;
     uint64_t quarantineVersion_;
 };
 
