--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -12,6 +12,7 @@
 
 namespace bamboogap {
 
+using detail::keyDigest;
 using detail::kLeastRemaining;
 using detail::scaled;
 
@@ -114,6 +115,8 @@
     logEvent(LogLevel::Info, "endpoint_broke_off",
              { { "request", active.caller.id },
                { "fingerprint", fmt::format("{:016x}", active.subjects.front()) },
+               { "workspace", active.workspace },
+               { "key_digest", keyDigest(active.caller.accessKey) },
                { "crash", crashName(active.endpointId, active.endpointBorn) },
                { "waited_ms", fmt::to_string(toMillis(now - active.sentAt)) } });
     for (const Fingerprint subject : active.subjects) {
--- a/node/directrequest.h
+++ b/node/directrequest.h
@@ -3,6 +3,9 @@
 #ifndef BAMBOOGAP_NODE_DIRECTREQUEST_H
 #define BAMBOOGAP_NODE_DIRECTREQUEST_H
 
+#include <fmt/format.h>
+
+#include "base/hash.h"
 #include "node/directrouter.h"
 
 namespace bamboogap {
@@ -75,6 +78,12 @@
 // An endpoint given less time than this answers too late for the caller.
 inline constexpr Duration kLeastRemaining = std::chrono::milliseconds(5);
 
+// Tells access keys apart in the log without showing them.
+inline std::string keyDigest(std::string_view accessKey)
+{
+    return fmt::format("{:04x}", hashBytes(accessKey) & 0xffff);
+}
+
 } // namespace detail
 
 } // namespace bamboogap
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -14,6 +14,7 @@
 
 namespace bamboogap {
 
+using detail::keyDigest;
 using detail::kLeastRemaining;
 using detail::scaled;
 
@@ -204,11 +205,27 @@
     return true;
 }
 
+std::optional<Fingerprint> DirectRouter::quarantinedSubject(const Active &active) const
+{
+    for (const Fingerprint subject : active.subjects) {
+        if (sync_->standingOf(subject) == SuspicionStatus::Quarantined)
+            return subject;
+    }
+    return std::nullopt;
+}
+
+// Logs which subject it is: a quarantine is released by its fingerprint.
 bool DirectRouter::isQuarantined(const Active &active) const
 {
-    return std::any_of(active.subjects.begin(), active.subjects.end(), [this](Fingerprint subject) {
-        return sync_->standingOf(subject) == SuspicionStatus::Quarantined;
-    });
+    const auto subject = quarantinedSubject(active);
+    if (subject) {
+        logEvent(LogLevel::Info, "request_quarantined",
+                 { { "request", active.caller.id },
+                   { "fingerprint", fmt::format("{:016x}", *subject) },
+                   { "workspace", active.workspace },
+                   { "key_digest", keyDigest(active.caller.accessKey) } });
+    }
+    return subject.has_value();
 }
 
 PlacementRequest DirectRouter::placementRequest(const Active &active) const
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -79,6 +80,7 @@
     void heedEndpoint(const Active &active);
     void noteAnswer(const Active &active);
     void noteCrash(const Active &active);
+    std::optional<Fingerprint> quarantinedSubject(const Active &active) const;
     bool isQuarantined(const Active &active) const;
     void onData(ExchangeId id, std::string_view data);
     void hold(Active &active, std::string_view data);
