--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -245,6 +245,8 @@
         """Ends all connections and does not come back."""
         self.crashed = True
         self.sends_heartbeats = False
+        # Without it the port accepts connections until the server thread has noticed.
+        self.server.socket.shutdown(socket.SHUT_RDWR)
         self.server.socket.close()
         for connection in list(self.connections):
             try:
