Identify a quarantined request by the caller's workspace, not by its access key

Callers saw: a request that crashes endpoints is rejected, then runs and crashes three endpoints more once its caller uses another key, or after a configuration has replaced the key. Ruled out: a verdict that did not reach a router (request_quarantined shows the old fingerprint everywhere); the same in chat and service requests of an owned fleet (their fingerprints have the workspace already). Change: routing/chatrequest's fingerprintOf() with the workspace serves both kinds of fleet. Nothing else is kept by key: the access key is read for the look-up of the workspace only.

--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -11,6 +11,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "node/directrequest.h"
+#include "routing/chatrequest.h"
 
 namespace bamboogap {
 
@@ -40,14 +41,11 @@
 constexpr Duration kStarting = std::chrono::seconds(4);
 constexpr Duration kNoRouteTimeout = std::chrono::seconds(30);
 
-Fingerprint fingerprintOf(const HttpRequest &request, std::string_view accessKey)
+// A caller is its workspace: it may have several keys, and they are replaced.
+std::vector<Fingerprint> subjectsOf(const HttpRequest &request, const CallerRequest &caller,
+                                    std::string_view workspace)
 {
-    return combineHashes(hashBytes(request.path, hashBytes(accessKey)), hashBytes(request.body));
-}
-
-std::vector<Fingerprint> subjectsOf(const HttpRequest &request, const CallerRequest &caller)
-{
-    std::vector<Fingerprint> subjects { fingerprintOf(request, caller.accessKey) };
+    std::vector<Fingerprint> subjects { fingerprintOf(workspace, request.path, request.body) };
     if (caller.model.empty())
         return subjects;
     for (size_t i = 0; i + 1 < caller.prompt.size(); ++i)
@@ -194,7 +192,7 @@
     active.deadline = active.arrivedAt
             + std::min(route.timeout, active.caller.remaining.value_or(kNoRouteTimeout));
     active.waitUntil = active.arrivedAt + scaled(route.latencyGoal, kWaitShare);
-    active.subjects = subjectsOf(active.request, active.caller);
+    active.subjects = subjectsOf(active.request, active.caller, active.workspace);
     auto retries = retries_.find(active.service);
     if (retries == retries_.end())
         retries = retries_.emplace(active.service,
