Count each crash under copies of a request that was never answered

Callers saw: a service with three endpoints stays down, as the same request, which may not be sent again, crashes all three at once, round after round. Cause: a crash counted only if its request was sent after the crash counted before, so that one event that takes many endpoints counts as one; copies under way at once, from several connections, counted as one event too. The record has crashes 9 and 20 ms apart under one request. Change: the fingerprint of a whole request that was never answered counts each crash; prompt parts, which many requests share, and requests with an answer before count as they did. A late report of such an answer ends the quarantine. Why no sound request is blamed: an event would have to take three endpoints, each with a copy of a request that no router remembers an answer to, and none may answer it within the time that reports take.

--- a/control/crashsuspects.cc
+++ b/control/crashsuspects.cc
@@ -27,7 +27,9 @@
 {
     if (entries_.size() >= limits_.maxSubjects && entries_.count(crash.subject) == 0)
         dropOldest();
-    std::vector<Crash> &crashes = entries_[crash.subject].crashes;
+    Entry &entry = entries_[crash.subject];
+    entry.isWholeRequest = crash.isWholeRequest;
+    std::vector<Crash> &crashes = entry.crashes;
     const std::string name = crashName(crash.endpoint, crash.startMillis);
     const auto known = std::find_if(crashes.begin(), crashes.end(),
                                     [&](const Crash &item) { return item.name == name; });
@@ -50,6 +52,7 @@
         return;
     found->second.wasAnswered = true;
     removeCrashes(found->second, subject, [at](const Crash &crash) { return crash.brokeAt <= at; });
+    releaseWithoutEvidence(found->second, subject);
     if (found->second.crashes.empty())
         entries_.erase(found);
 }
@@ -70,21 +73,27 @@
 template<typename Condition>
 void CrashSuspects::removeCrashes(Entry &entry, Fingerprint subject, Condition condition)
 {
-    if (std::erase_if(entry.crashes, condition) == 0)
-        return;
-    if (entry.quarantined && countInSequence(entry, {}).crashes < limits_.crashesToQuarantine) {
+    if (std::erase_if(entry.crashes, condition) > 0)
+        releaseWithoutEvidence(entry, subject);
+}
+
+void CrashSuspects::releaseWithoutEvidence(Entry &entry, Fingerprint subject)
+{
+    if (entry.quarantined && countCrashes(entry, {}).crashes < limits_.crashesToQuarantine) {
         entry.quarantined = false;
         released_.push_back(subject);
     }
 }
 
-// The largest number of crashes of which each had a request that was sent after the one before.
-CrashSuspects::Count CrashSuspects::countInSequence(const Entry &entry, const CrashNames &explained)
+// The largest number of crashes of which each had a request that was sent after the one before; all
+// crashes of a request that was never answered.
+CrashSuspects::Count CrashSuspects::countCrashes(const Entry &entry, const CrashNames &explained)
 {
+    const bool countsCopies = entry.isWholeRequest && !entry.wasAnswered;
     Count count;
     Instant last = Instant::min();
     for (const Crash &crash : entry.crashes) {
-        if (crash.sentAt < last || explained.count(crash.name) > 0)
+        if ((crash.sentAt < last && !countsCopies) || explained.count(crash.name) > 0)
             continue;
         if (count.crashes == 0)
             count.first = crash.brokeAt;
@@ -130,7 +139,7 @@
         for (const auto &[subject, entry] : entries_) {
             if (entry.quarantined || entry.crashes.size() < limits_.crashesToQuarantine)
                 continue;
-            const Count count = countInSequence(entry, explained);
+            const Count count = countCrashes(entry, explained);
             if (count.crashes < limits_.crashesToQuarantine || now - count.first < evidenceDelay)
                 continue;
             if (anyAnswerAt_ <= count.first && !hasAllCrashesSince(entry, count.first))
--- a/control/crashsuspects.h
+++ b/control/crashsuspects.h
@@ -7,7 +7,8 @@
 //
 // - For it counts a crash of an endpoint on which a request with it was waiting for its answer.
 //   It counts only if that request was sent after the crash counted before it: an event that
-//   takes many endpoints at once counts as one.
+//   takes many endpoints at once counts as one. This does not hold for a request that was never
+//   answered: an event would have to meet several copies of the first request of its kind.
 // - Against it counts an answer, or a first token, to a request with it: all earlier crashes are
 //   forgotten. A crash is withdrawn if the endpoint's incarnation answers later requests.
 // - It is quarantined after several crashes, once every router had time to report answers, and
@@ -41,6 +42,7 @@
     int64_t startMillis = 0; // of its incarnation
     Instant sentAt {};
     Instant brokeAt {};
+    bool isWholeRequest = false; // the subject is the request's own fingerprint
 };
 
 // The id of a part among fingerprints of requests.
@@ -101,6 +103,7 @@
     struct Entry
     {
         std::vector<Crash> crashes; // by brokeAt
+        bool isWholeRequest = false;
         bool wasAnswered = false; // before the crashes
         bool quarantined = false;
     };
@@ -113,7 +116,8 @@
 
     using CrashNames = std::set<std::string, std::less<>>;
 
-    static Count countInSequence(const Entry &entry, const CrashNames &explained);
+    static Count countCrashes(const Entry &entry, const CrashNames &explained);
+    void releaseWithoutEvidence(Entry &entry, Fingerprint subject);
     CrashNames explainedCrashes() const;
     bool hasAllCrashesSince(const Entry &entry, Instant since) const;
     template<typename Condition>
--- a/control/testing/crashsuspects_test.cc
+++ b/control/testing/crashsuspects_test.cc
@@ -77,6 +77,31 @@
     CHECK(suspects.quarantine(at(9000), kDelay).empty());
 }
 
+TEST_CASE("copies of a request that was never answered crash endpoints at the same moment")
+{
+    const auto record = [](CrashSuspects &suspects) {
+        for (int64_t i = 0; i < 3; ++i) {
+            CrashEvidence evidence = crash(kPart, i, 1000 + i, 900);
+            evidence.isWholeRequest = true;
+            suspects.recordCrash(evidence);
+        }
+    };
+    CrashSuspects suspects;
+    record(suspects);
+    CHECK(suspects.quarantine(at(1900), kDelay).empty()); // an answer may be on its way
+    CHECK(suspects.quarantine(at(2000), kDelay).size() == 1);
+    // A report that it was answered before the crashes came late.
+    suspects.recordAnswer(kPart, at(500));
+    CHECK_FALSE(suspects.isQuarantined(kPart));
+    CHECK(suspects.takeReleased() == std::vector<Fingerprint> { kPart });
+    CHECK(suspects.quarantine(at(9000), kDelay).empty());
+
+    CrashSuspects answered;
+    record(answered);
+    answered.recordAnswer(kPart, at(500));
+    CHECK(answered.quarantine(at(9000), kDelay).empty());
+}
+
 TEST_CASE("crashes while no engine works do not quarantine a part")
 {
     CrashSuspects suspects;
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -120,8 +120,8 @@
                { "crash", crashName(active.endpointId, active.endpointBorn) },
                { "waited_ms", fmt::to_string(toMillis(now - active.sentAt)) } });
     for (const Fingerprint subject : active.subjects) {
-        sync_->reportCrashEvidence(
-                { subject, active.endpointId, active.endpointBorn, active.sentAt, now });
+        sync_->reportCrashEvidence({ subject, active.endpointId, active.endpointBorn, active.sentAt,
+                                     now, subject == active.subjects.front() });
     }
 }
 
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -531,7 +531,7 @@
     for (const auto crash : request.getCrashEvidence()) {
         crashSuspects_.recordCrash({ crash.getSubject(), std::string(toView(crash.getEndpoint())),
                                      crash.getBornMillis(), ago(crash.getSentMillisAgo()),
-                                     ago(crash.getBrokeMillisAgo()) });
+                                     ago(crash.getBrokeMillisAgo()), crash.getWholeRequest() });
     }
     for (const auto answer : request.getLastAnswers())
         crashSuspects_.recordAnswer(answer.getSubject(), ago(answer.getMillisAgo()));
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -258,6 +258,7 @@
         crashes[i].setBornMillis(newCrashes[i].startMillis);
         crashes[i].setSentMillisAgo(millisAgo(newCrashes[i].sentAt));
         crashes[i].setBrokeMillisAgo(millisAgo(newCrashes[i].brokeAt));
+        crashes[i].setWholeRequest(newCrashes[i].isWholeRequest);
     }
     const auto newLiving = livingEndpoints_.since(link.livingSent);
     auto living = request.initLivingEndpoints(newLiving.size());
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -233,6 +233,7 @@
   bornMillis @2 :Int64;
   sentMillisAgo @3 :UInt32;
   brokeMillisAgo @4 :UInt32;
+  wholeRequest @5 :Bool;  # the subject is a request's fingerprint
 }
 
 struct LastAnswer {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -471,7 +471,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a6458d6ab03cfc9d, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a6458d6ab03cfc9d, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3882,6 +3882,8 @@
 
   inline  ::uint32_t getBrokeMillisAgo() const;
 
+  inline bool getWholeRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3929,6 +3931,9 @@
   inline  ::uint32_t getBrokeMillisAgo();
   inline void setBrokeMillisAgo( ::uint32_t value);
 
+  inline bool getWholeRequest();
+  inline void setWholeRequest(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11578,6 +11583,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashEvidence::Reader::getWholeRequest() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashEvidence::Builder::getWholeRequest() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setWholeRequest(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LastAnswer::Reader::getSubject() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
