Do not give up an attempt of a suspected request before the endpoint answers

Callers saw: more endpoints of a slow service crash under one request than the quarantine needs. Cause: an idempotent request goes to the next endpoint after 0.6 of its goal, and the connection of the first attempt is closed, so that a crash later than that has no witness. Ruled out: the crash is seen by other requests of the endpoint (there is none under way in a calm service). Change: once a replica suspects the request, its attempts last until its deadline. A sound request pays with a later second attempt while it is suspected, that is until its next answer. The first crash of each router that was not told yet stays unseen.

--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -372,6 +372,9 @@
     if (!mayMove)
         return last;
     const Route &route = *active.route;
+    // An endpoint that crashes under an attempt that was given up crashes unseen.
+    if (!active.isStream && sync_->standingOf(active.subjects.front()) == SuspicionStatus::Suspect)
+        return last;
     if (!active.isStream)
         return std::min(last, active.sentAt + scaled(route.latencyGoal, kPlainAttemptShare));
     if (active.hadFirstByte)
