Read and log the rate limits that endpoints name in their answers

Cause: nothing read the header, so that the logs could not tell a limit that no router knows from one that they exceed together. Nothing acts on it yet.

--- a/node/dialect.h
+++ b/node/dialect.h
@@ -62,7 +62,9 @@
     std::optional<Duration> keepAlive; // idle time after which it closes
     bool leaving = false; // the endpoint is about to end and wants no new requests
     std::optional<Duration> quiet; // the endpoint wants no request for so long
-    std::string unreadable; // a header whose value was ignored; empty if none
+    // Requests per second that the endpoint takes from the whole fleet, while its answers name it.
+    std::optional<double> ratePerSecond;
+    std::string unreadable; // headers whose values were ignored; empty if none
 };
 
 // What endpoints and operators ask of the control plane.
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -91,6 +91,7 @@
         sync_->reportLeaving({ active.endpointId, active.endpointBorn });
         onNews();
     }
+    noteLimit(active, now);
     if (head.quiet) {
         board_.onBackoffRequested(active.endpoint, active.endpointBorn, *head.quiet, now);
         logEvent(LogLevel::Info, "endpoint_asked_for_quiet",
@@ -101,6 +102,23 @@
     }
 }
 
+void DirectRouter::noteLimit(const Active &active, Instant now)
+{
+    // A rejection need not name the limit.
+    if (!active.head.ratePerSecond && !active.head.isSigned)
+        return;
+    const LimitObservation observation { active.endpoint, active.endpointBorn,
+                                         active.head.ratePerSecond, active.sentAt, now };
+    if (!sync_->observeLimit(observation))
+        return;
+    logEvent(LogLevel::Info, "endpoint_limit",
+             { { "endpoint", active.endpointId },
+               { "per_second",
+                 observation.perSecond ? fmt::to_string(*observation.perSecond) : "none" },
+               { "request", active.caller.id } });
+    metrics_.count("bamboogap_endpoint_limit_changes_total");
+}
+
 void DirectRouter::noteAnswer(const Active &active)
 {
     answerTimes_.record(active.subjects, BootClock::now());
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -78,6 +78,7 @@
     void send(Active &active, const Placement &placement);
     bool onHead(ExchangeId id, int status, std::span<const HttpHeader> headers);
     void heedEndpoint(const Active &active);
+    void noteLimit(const Active &active, Instant now);
     void noteAnswer(const Active &active);
     void noteCrash(const Active &active);
     std::optional<Fingerprint> quarantinedSubject(const Active &active) const;
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -19,6 +19,7 @@
 #include "control/crashsuspects.h"
 #include "control/documentpiece.h"
 #include "control/suspectlists.h"
+#include "fleet/endpointratelimits.h"
 #include "fleet/placementlog.h"
 #include "fleet/reportlog.h"
 #include "fleet/roster.h"
@@ -73,6 +74,9 @@
     void reportLeaving(Incarnation endpoint);
     // Goes to all replicas at once, since each crash that follows costs an engine's batch.
     void reportCrashEvidence(CrashEvidence crash);
+    // What an answer to this router said of its endpoint's rate limit. Returns whether a limit has
+    // changed.
+    bool observeLimit(const LimitObservation &observation) { return limits_.observe(observation); }
     // An endpoint that was reported to have crashed goes on.
     void reportLiving(Incarnation endpoint);
     void setSeeds(std::vector<std::string> seeds);
@@ -180,6 +184,7 @@
     ReportLog<Incarnation> leavingEndpoints_;
     ReportLog<CrashEvidence> crashEvidence_;
     ReportLog<Incarnation> livingEndpoints_;
+    EndpointRateLimits limits_;
     bool syncSoon_ = false;
     PlacementLog placements_; // of this router, until every replica has them
     std::string sourceOfOthers_; // the replica that tells what the other routers do
