Keep the rate limits that endpoints name, over all routers together

Callers and endpoints saw: an endpoint in need that names a limit gets up to four times of it. Cause: a limit of the whole fleet, of which no router knew, and of which none knows what the others use. Ruled out as mechanisms: plain division (195 routers with a share of a request a minute each serve nobody, and may all send at once); owners by any replica's count of routers (a replica that has just started counts one); tokens handed out by replicas (in a large fleet a token would have to be at a router before the request is). Change: routers tell the limits that they see, and that they end, with their reports; replicas tell all routers (fleet/endpointratelimits). Each router may use a share (routing/endpointratelimiter): equal ones, and in a large fleet of so many routers only that each may send twice in four seconds; position and number come from the leader of the control group, few shares move when it changes, a share begins empty, and is halved once it is not confirmed in time. A request that finds no share goes to other endpoints; it waits only if its turn comes within a quarter of its goal, the most important first; else it is rejected at once and told when the next turn is.

--- a/node/convert.cc
+++ b/node/convert.cc
@@ -2,6 +2,9 @@
 
 #include "node/convert.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace bamboogap {
 
 using nlohmann::json;
@@ -385,4 +388,48 @@
              std::string(toView(reader.getRemedy())) };
 }
 
+namespace {
+
+// A thousandth of a request per second.
+constexpr double kMilli = 1000;
+
+uint32_t millisBefore(Instant now, Instant at)
+{
+    return static_cast<uint32_t>(std::clamp<int64_t>(toMillis(now - at), 0, UINT32_MAX));
+}
+
+} // namespace
+
+void write(std::span<const LimitObservation> observations,
+           capnp::List<wire::LimitObservation>::Builder list, Instant now)
+{
+    for (size_t i = 0; i < observations.size(); ++i) {
+        const LimitObservation &observation = observations[i];
+        const double milli = observation.perSecond.value_or(0) * kMilli;
+        list[i].setKey(observation.key);
+        list[i].setBornMillis(observation.startMillis);
+        list[i].setNamed(observation.perSecond.has_value());
+        list[i].setMilliPerSecond(
+                static_cast<uint32_t>(std::clamp(std::round(milli), 0.0, double(UINT32_MAX))));
+        list[i].setSentMillisAgo(millisBefore(now, observation.sentAt));
+        list[i].setAnsweredMillisAgo(millisBefore(now, observation.answeredAt));
+    }
+}
+
+std::vector<LimitObservation> read(capnp::List<wire::LimitObservation>::Reader list, Instant now)
+{
+    std::vector<LimitObservation> observations;
+    for (const auto item : list) {
+        LimitObservation observation;
+        observation.key = item.getKey();
+        observation.startMillis = item.getBornMillis();
+        if (item.getNamed())
+            observation.perSecond = item.getMilliPerSecond() / kMilli;
+        observation.sentAt = now - std::chrono::milliseconds(item.getSentMillisAgo());
+        observation.answeredAt = now - std::chrono::milliseconds(item.getAnsweredMillisAgo());
+        observations.push_back(observation);
+    }
+    return observations;
+}
+
 } // namespace bamboogap
--- a/node/convert.h
+++ b/node/convert.h
@@ -15,6 +15,7 @@
 #include "base/error.h"
 #include "control/raft.h"
 #include "control/state.h"
+#include "fleet/endpointratelimits.h"
 #include "fleet/heartbeat.h"
 #include "fleet/placementlog.h"
 #include "node/wire.capnp.h"
@@ -62,6 +63,11 @@
 void write(const Error &error, wire::Problem::Builder builder);
 Error read(wire::Problem::Reader reader);
 
+// Times are written as milliseconds before `now`.
+void write(std::span<const LimitObservation> observations,
+           capnp::List<wire::LimitObservation>::Builder list, Instant now);
+std::vector<LimitObservation> read(capnp::List<wire::LimitObservation>::Reader list, Instant now);
+
 } // namespace bamboogap
 
 #endif
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -117,6 +117,7 @@
                  observation.perSecond ? fmt::to_string(*observation.perSecond) : "none" },
                { "request", active.caller.id } });
     metrics_.count("bamboogap_endpoint_limit_changes_total");
+    board_.setRateLimits(sync_->limits(), sync_->sharePosition(now), now);
 }
 
 void DirectRouter::noteAnswer(const Active &active)
@@ -381,11 +382,22 @@
     erase(id);
 }
 
+// Until an endpoint takes requests again that asked for a back-off or named a rate limit.
+Duration DirectRouter::waitForEndpoint(const Active &active) const
+{
+    const Instant now = BootClock::now();
+    const Duration backoff = board_.backoffLeft(active.service, now);
+    const Instant turn
+            = board_.rateLimitedUntil(placementRequest(active), waitingBefore(active), now);
+    // Without a share here the caller may meet a router that has one.
+    return turn == Instant::max() ? backoff : std::max(backoff, turn - now);
+}
+
 Duration DirectRouter::returnTime(const Active &active, Refusal refusal)
 {
     ReturnTime time = refusal == Refusal::NoCapacity ? kWhenPlaceFree : kWhenFleetReady;
     if (refusal == Refusal::NoCapacity)
-        time.least = std::max(time.least, board_.backoffLeft(active.service, BootClock::now()));
+        time.least = std::max(time.least, waitForEndpoint(active));
     if (stopping_)
         time = kAtOnce;
     return time.least + scaled(time.spread, chance());
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -373,6 +373,8 @@
                           { "running", standing.running },
                           { "running_by_others", standing.othersRunning },
                           { "slowness", standing.latencyRatio } });
+                if (standing.rateLimiter.isLimited())
+                    endpoints.back()["rate_limit_share"] = standing.rateLimiter.perSecond();
             }
             value["endpoints"] = endpoints;
         }
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -99,6 +99,7 @@
     board_.update(sync_->roster(), sync_->dataCentresOut(), sync_->table().get(), now);
     board_.setOtherUses(sync_->others());
     board_.setFleetPosition(sync_->fleet());
+    board_.setRateLimits(sync_->limits(), sync_->sharePosition(now), now);
     if (!waiting_.empty() && isStarting(now))
         placeWaiting();
 }
@@ -265,6 +266,12 @@
         limit = active.waitUntil;
     else if (placed.error() == PlacementProblem::NoEndpoint && isStarting(now))
         limit = active.arrivedAt + kWaitAtStart;
+    else if (placed.error() == PlacementProblem::RateLimited) {
+        const Instant turn
+                = board_.rateLimitedUntil(placementRequest(active), waitingBefore(active), now);
+        if (turn <= active.waitUntil)
+            limit = turn;
+    }
     if (now < limit) {
         waitFor(active, limit, problem);
         return;
@@ -275,14 +282,32 @@
            problem);
 }
 
-void DirectRouter::placeWaiting()
+// Requests that wait for the same endpoints and are placed before this one.
+size_t DirectRouter::waitingBefore(const Active &active) const
 {
-    const auto waiting = waiting_;
-    for (const ExchangeId id : waiting) {
+    const auto order = [](const Active &of) { return std::pair { of.priority, of.id }; };
+    return std::count_if(waiting_.begin(), waiting_.end(), [&](ExchangeId id) {
         const auto found = active_.find(id);
-        if (found == active_.end())
-            waiting_.erase(id);
-        else
+        return found != active_.end() && found->second->service == active.service
+                && order(*found->second) < order(active);
+    });
+}
+
+// The most important first, then the one that came first.
+void DirectRouter::placeWaiting()
+{
+    std::set<std::pair<uint32_t, ExchangeId>> waiting;
+    for (auto item = waiting_.begin(); item != waiting_.end();) {
+        const auto found = active_.find(*item);
+        if (found == active_.end()) {
+            item = waiting_.erase(item);
+            continue;
+        }
+        waiting.emplace(found->second->priority, *item);
+        ++item;
+    }
+    for (const auto &[priority, id] : waiting) {
+        if (const auto found = active_.find(id); found != active_.end())
             retryWaiting(*found->second);
     }
 }
@@ -408,7 +433,7 @@
     Active &active = *found->second;
     const Instant now = BootClock::now();
     if (active.call == 0) {
-        retryWaiting(active);
+        placeWaiting();
         return;
     }
     if (now < attemptLimit(active)) {
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -107,8 +107,10 @@
     void armTimer(Active &active, Instant at);
     Instant attemptLimit(const Active &active) const;
     bool mayRunAgain(const Active &active) const;
+    Duration waitForEndpoint(const Active &active) const;
     Duration returnTime(const Active &active, Refusal refusal);
     PlacementRequest placementRequest(const Active &active) const;
+    size_t waitingBefore(const Active &active) const;
     void placeWaiting();
     void retryWaiting(Active &active);
     void waitFor(Active &active, Instant limit, std::string_view reason);
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -46,6 +46,8 @@
 // takes some 60 bytes, and a round about 8 ms a router.
 constexpr size_t kPlacementsInRound = 3000;
 constexpr size_t kMaxPlacementsTold = 512;
+// Rate limits of endpoints told in one answer.
+constexpr size_t kMaxLimitsTold = 128;
 
 // Endpoint records told in one answer, so that a full roster does not hold up the
 // acknowledgements of heartbeats: at 30 bytes a record and 8 ms a router, 240 kB/s. In a
@@ -181,6 +183,7 @@
     , memoFile_(std::move(memo))
     , startCalls_(loop, peers, settings_.address)
     , spread_({ settings_.linkBytesPerSecond })
+    , limits_(randomEpoch())
     , quarantineVersion_(randomEpoch())
 {
 }
@@ -227,6 +230,7 @@
         roster_.tick(now);
         routers_.removeExpired(now);
         rememberFleet(now);
+        limits_.expire(now);
         crashSuspects_.expire(now);
         quarantineSuspects(now);
         commitQuarantine();
@@ -412,6 +416,15 @@
         for (size_t i = 0; i < members.size(); ++i)
             replicas.set(i, members[i]);
     }
+    for (const LimitObservation &observation : read(request.getLimits(), now))
+        limits_.observe(observation);
+    uint64_t limitsVersion = request.getLimitsVersion();
+    if (request.getWantsOthers()) {
+        const auto limits = limits_.changesSince(limitsVersion, kMaxLimitsTold);
+        write(limits, reply.initLimits(limits.size()), now);
+    }
+    reply.setLimitsVersion(limitsVersion);
+    reply.setLeads(control_.maySpeak());
     noteEvidence(name, request, now);
     reply.setSuspectsVersion(quarantineVersion_);
     if (request.getSuspectsVersion() != quarantineVersion_) {
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -12,6 +12,7 @@
 #include "control/documentpiece.h"
 #include "control/suspects.h"
 #include "fleet/documentdistributor.h"
+#include "fleet/endpointratelimits.h"
 #include "fleet/placementlog.h"
 #include "fleet/roster.h"
 #include "fleet/routertable.h"
@@ -146,6 +147,7 @@
     PlacementLog placements_;
     DocumentHistory documents_;
     DocumentDistributor spread_;
+    EndpointRateLimits limits_;
     CrashSuspects crashSuspects_;
     Instant quarantineCheckedAt_ {};
     // Quarantined by the evidence that this process has, with the names of the crashes.
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -50,6 +50,8 @@
 constexpr size_t kMaxPlacementsSent = 256;
 // Urgent reports wait for others of the same crash.
 constexpr Duration kUrgentDelay = std::chrono::milliseconds(20);
+// Between two reports of a limit that an endpoint goes on to name.
+constexpr Duration kLimitRefresh = std::chrono::seconds(1);
 // Replicas that call a router before it knows the control group; a group has fewer members.
 constexpr size_t kMostCallers = 32;
 
@@ -102,7 +104,12 @@
 
 void SyncTask::syncAll()
 {
-    markLost(BootClock::now());
+    const Instant now = BootClock::now();
+    markLost(now);
+    limits_.expire(now);
+    std::erase_if(limitReportedAt_, [now](const auto &item) {
+        return now - item.second > EndpointRateLimits::kRetention;
+    });
     chooseSource();
     takePlacements();
     syncLinks();
@@ -209,6 +216,10 @@
     }
     const uint64_t leavingSent = leavingEndpoints_.end();
     writeEvidence(link, request);
+    const auto newLimits = limitReports_.since(link.limitsSent);
+    write(newLimits, request.initLimits(newLimits.size()), BootClock::now());
+    request.setLimitsVersion(link.limitsVersion);
+    const uint64_t limitsSent = limitReports_.end();
     const uint64_t evidenceSent = crashEvidence_.end();
     const uint64_t livingSent = livingEndpoints_.end();
     uint64_t placementsSent = link.placementsSent;
@@ -233,6 +244,7 @@
                                      answered.leavingSent = leavingSent;
                                      answered.evidenceSent = evidenceSent;
                                      answered.livingSent = livingSent;
+                                     answered.limitsSent = limitsSent;
                                      answered.placementsSent = placementsSent;
                                      answered.addressToldTo = response.getReply().getRosterEpoch();
                                      onReply(address, response.getReply());
@@ -391,6 +403,13 @@
         unpackUses(toView(reply.getUses()), others_);
     }
     fleet_ = { std::max<uint32_t>(1, reply.getRouters()), reply.getRank() };
+    // A leader that has not heard from all routers yet tells no number of sharers.
+    if (reply.getLeads() && reply.getSharers() > 0) {
+        leaderPosition_ = { fleet_.routers, std::min(fleet_.rank, fleet_.routers - 1) };
+        positionToldAt_ = now;
+    }
+    if (address == sourceOfOthers_)
+        readLimits(address, reply);
     link.placementsVersion = reply.getPlacementsVersion();
     if (reply.getPlacements().size() > 0)
         hooks_.learn(read(reply.getPlacements()));
@@ -558,6 +577,51 @@
     syncSoon();
 }
 
+bool SyncTask::observeLimit(const LimitObservation &observation)
+{
+    const bool changed = limits_.observe(observation);
+    const auto reported = limitReportedAt_.find(observation.key);
+    const bool due = observation.perSecond
+            && (reported == limitReportedAt_.end()
+                || observation.answeredAt - reported->second >= kLimitRefresh);
+    if (changed || due) {
+        limitReportedAt_[observation.key] = observation.answeredAt;
+        limitReports_.add(observation);
+    }
+    return changed;
+}
+
+void SyncTask::readLimits(const std::string &address, wire::SyncReply::Reader reply)
+{
+    links_[address].limitsVersion = reply.getLimitsVersion();
+    for (const LimitObservation &told : read(reply.getLimits(), BootClock::now())) {
+        if (!limits_.observe(told))
+            continue;
+        logEvent(LogLevel::Info, "endpoint_limit",
+                 { { "endpoint", endpointName(told.key) },
+                   { "per_second", told.perSecond ? fmt::to_string(*told.perSecond) : "none" },
+                   { "replica", address } });
+    }
+}
+
+std::string SyncTask::endpointName(EndpointKey key) const
+{
+    for (const auto &[id, endpoint] : roster_.endpoints()) {
+        if (endpoint.key == key)
+            return id;
+    }
+    return fmt::format("{:016x}", key);
+}
+
+SharePosition SyncTask::sharePosition(Instant now) const
+{
+    SharePosition position = leaderPosition_;
+    const Duration aliveTimeout = std::max<Duration>(
+            RouterTable::kAliveTimeout, position.routers * RouterTable::kAliveTimeoutPerRouter);
+    position.isConfirmed = now - positionToldAt_ < aliveTimeout / 5 * 4;
+    return position;
+}
+
 void SyncTask::reportLiving(Incarnation endpoint)
 {
     logEvent(LogLevel::Info, "endpoint_goes_on",
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -29,6 +29,7 @@
 #include "node/eventloop.h"
 #include "node/peers.h"
 #include "routing/answertimes.h"
+#include "routing/endpointratelimiter.h"
 #include "routing/routetable.h"
 #include "routing/warmupratelimiter.h"
 
@@ -76,7 +77,10 @@
     void reportCrashEvidence(CrashEvidence crash);
     // What an answer to this router said of its endpoint's rate limit. Returns whether a limit has
     // changed.
-    bool observeLimit(const LimitObservation &observation) { return limits_.observe(observation); }
+    bool observeLimit(const LimitObservation &observation);
+    const EndpointRateLimits &limits() const { return limits_; }
+    // This router's place among those that share the limits.
+    SharePosition sharePosition(Instant now) const;
     // An endpoint that was reported to have crashed goes on.
     void reportLiving(Incarnation endpoint);
     void setSeeds(std::vector<std::string> seeds);
@@ -125,6 +129,8 @@
         uint64_t leavingSent = 0;
         uint64_t evidenceSent = 0; // the same of crashEvidence_
         uint64_t livingSent = 0; // and of livingEndpoints_
+        uint64_t limitsSent = 0; // and of limitReports_
+        uint64_t limitsVersion = 0; // of the replica's limits, if it is their source
         std::vector<Fingerprint> watched; // that the replica suspects
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
         uint64_t placementsVersion = 0; // of others' placements, if it is their source
@@ -135,6 +141,8 @@
     void syncSoon();
     void syncSource();
     void writeEvidence(const ReplicaLink &link, wire::SyncRequest::Builder request) const;
+    void readLimits(const std::string &address, wire::SyncReply::Reader reply);
+    std::string endpointName(EndpointKey key) const;
     void takePlacements();
     void sync(const std::string &address);
     void onReply(const std::string &address, wire::SyncReply::Reader reply);
@@ -185,6 +193,10 @@
     ReportLog<CrashEvidence> crashEvidence_;
     ReportLog<Incarnation> livingEndpoints_;
     EndpointRateLimits limits_;
+    ReportLog<LimitObservation> limitReports_;
+    std::map<EndpointKey, Instant> limitReportedAt_;
+    SharePosition leaderPosition_; // as the leader told last
+    Instant positionToldAt_ {};
     bool syncSoon_ = false;
     PlacementLog placements_; // of this router, until every replica has them
     std::string sourceOfOthers_; // the replica that tells what the other routers do
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -251,6 +251,16 @@
   parts @1 :List(ChainPart);
 }
 
+# What an answer of an endpoint said of its rate limit; see fleet/endpointratelimits.h.
+struct LimitObservation {
+  key @0 :UInt64;  # of the endpoint
+  bornMillis @1 :Int64;
+  named @2 :Bool;  # false: the endpoint has no limit any more
+  milliPerSecond @3 :UInt32;  # a thousandth of a request per second
+  sentMillisAgo @4 :UInt32;
+  answeredMillisAgo @5 :UInt32;
+}
+
 # An endpoint that said in an answer to a router that it is about to end.
 struct LeavingEndpoint {
   id @0 :Text;
@@ -279,6 +289,8 @@
   lastAnswers @18 :List(LastAnswer);  # to requests with what the replica suspects
   anyAnswer @19 :LastAnswer;  # the last to any request; null if there was none
   livingEndpoints @20 :List(LeavingEndpoint);  # reported to have crashed, and answered since
+  limits @21 :List(LimitObservation);  # since the last sync that was answered
+  limitsVersion @22 :UInt64;  # of the replica's limits that the router knows
 }
 
 struct SyncReply {
@@ -302,6 +314,9 @@
   hasUses @17 :Bool;  # else the last ones hold on
   sharers @18 :UInt16;  # routers that divide the fleet's limits; 0 if unknown
   firstProcess @19 :Bool;  # of this router, for all that the replica knows
+  leads @20 :Bool;  # the replica leads the group
+  limits @21 :List(LimitObservation);  # changed since the version in the request
+  limitsVersion @22 :UInt64;
 }
 
 interface AnswerSink {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -59,6 +59,7 @@
 CAPNP_DECLARE_SCHEMA(b4ac52d4fb391174);
 CAPNP_DECLARE_SCHEMA(ce0a718398872f24);
 CAPNP_DECLARE_SCHEMA(b60c2c4b174015c3);
+CAPNP_DECLARE_SCHEMA(feb63fcaccb42682);
 CAPNP_DECLARE_SCHEMA(ba2f66fed2b87cd7);
 CAPNP_DECLARE_SCHEMA(9079cdf40b7c7355);
 CAPNP_DECLARE_SCHEMA(c20538f9036bc713);
@@ -523,6 +524,21 @@
   };
 };
 
+struct LimitObservation {
+  LimitObservation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(feb63fcaccb42682, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LeavingEndpoint {
   LeavingEndpoint() = delete;
 
@@ -546,7 +562,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 8, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 9, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -561,7 +577,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c20538f9036bc713, 7, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c20538f9036bc713, 8, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4208,6 +4224,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class LimitObservation::Reader {
+public:
+  typedef LimitObservation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey() const;
+
+  inline  ::int64_t getBornMillis() const;
+
+  inline bool getNamed() const;
+
+  inline  ::uint32_t getMilliPerSecond() const;
+
+  inline  ::uint32_t getSentMillisAgo() const;
+
+  inline  ::uint32_t getAnsweredMillisAgo() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LimitObservation::Builder {
+public:
+  typedef LimitObservation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey();
+  inline void setKey( ::uint64_t value);
+
+  inline  ::int64_t getBornMillis();
+  inline void setBornMillis( ::int64_t value);
+
+  inline bool getNamed();
+  inline void setNamed(bool value);
+
+  inline  ::uint32_t getMilliPerSecond();
+  inline void setMilliPerSecond( ::uint32_t value);
+
+  inline  ::uint32_t getSentMillisAgo();
+  inline void setSentMillisAgo( ::uint32_t value);
+
+  inline  ::uint32_t getAnsweredMillisAgo();
+  inline void setAnsweredMillisAgo( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LimitObservation::Pipeline {
+public:
+  typedef LimitObservation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LeavingEndpoint::Reader {
 public:
   typedef LeavingEndpoint Reads;
@@ -4364,6 +4481,11 @@
   inline bool hasLivingEndpoints() const;
   inline  ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>::Reader getLivingEndpoints() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline  ::uint64_t getLimitsVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4499,6 +4621,16 @@
   inline void adoptLivingEndpoints(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LeavingEndpoint,  ::capnp::Kind::STRUCT>> disownLivingEndpoints();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline  ::uint64_t getLimitsVersion();
+  inline void setLimitsVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4589,6 +4721,13 @@
 
   inline bool getFirstProcess() const;
 
+  inline bool getLeads() const;
+
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline  ::uint64_t getLimitsVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4703,6 +4842,19 @@
   inline bool getFirstProcess();
   inline void setFirstProcess(bool value);
 
+  inline bool getLeads();
+  inline void setLeads(bool value);
+
+  inline bool hasLimits();
+  inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline  ::uint64_t getLimitsVersion();
+  inline void setLimitsVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11701,6 +11853,90 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t LimitObservation::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LimitObservation::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LimitObservation::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LimitObservation::Reader::getBornMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LimitObservation::Builder::getBornMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LimitObservation::Builder::setBornMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LimitObservation::Reader::getNamed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool LimitObservation::Builder::getNamed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void LimitObservation::Builder::setNamed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitObservation::Reader::getMilliPerSecond() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitObservation::Builder::getMilliPerSecond() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LimitObservation::Builder::setMilliPerSecond( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitObservation::Reader::getSentMillisAgo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitObservation::Builder::getSentMillisAgo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void LimitObservation::Builder::setSentMillisAgo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitObservation::Reader::getAnsweredMillisAgo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitObservation::Builder::getAnsweredMillisAgo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void LimitObservation::Builder::setAnsweredMillisAgo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeavingEndpoint::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12268,6 +12504,54 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader SyncRequest::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::setLimits( ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder SyncRequest::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void SyncRequest::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>> SyncRequest::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncRequest::Reader::getLimitsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getLimitsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setLimitsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SyncReply::Reader::getCurrent() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -12676,6 +12960,68 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncReply::Reader::getLeads() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getLeads() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setLeads(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setLimits( ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bamboogap::wire::LimitObservation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SyncReply::Reader::getLimitsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncReply::Builder::getLimitsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setLimitsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/routing/endpointselector.cc
+++ b/routing/endpointselector.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <queue>
 
 #include "base/hash.h"
 
@@ -55,6 +56,20 @@
                            [model](const ModelOffer &offer) { return offer.name == model; });
 }
 
+// Running requests of some endpoints.
+struct LoadSum
+{
+    double load = 0;
+    size_t members = 0;
+
+    void add(const EndpointSelector::EndpointStatus &status)
+    {
+        load += status.load();
+        ++members;
+    }
+    double mean() const { return load / double(std::max<size_t>(1, members)); }
+};
+
 } // namespace
 
 EndpointSelector::EndpointSelector(EndpointSelectorSettings settings)
@@ -127,6 +142,14 @@
     }
 }
 
+void EndpointSelector::setRateLimits(const EndpointRateLimits &limits,
+                                     const SharePosition &position, Instant now)
+{
+    for (auto &[key, status] : statuses_) {
+        status.rateLimiter.setLimit(limits.limitOf(key, status.startMillis), key, position, now);
+    }
+}
+
 double EndpointSelector::sustainablePerSecond(const EndpointStatus &status) const
 {
     const auto found = services_.find(status.service);
@@ -243,27 +266,40 @@
     return best;
 }
 
+// Whether the endpoint takes requests of this kind at all.
+bool EndpointSelector::isEligible(EndpointKey key, const EndpointStatus &status,
+                                  const PlacementRequest &request)
+{
+    return status.usable && !status.dataCentreOut && status.service == request.service
+            && offers(status, request.model)
+            && !(request.excluded && request.excluded->count(key) > 0);
+}
+
 EndpointSelector::CandidateSet EndpointSelector::gatherCandidates(const PlacementRequest &request,
                                                                   Instant now)
 {
     CandidateSet set;
     std::vector<Candidate> ejected; // used only if nothing else is left
-    double load = 0;
-    // Includes endpoints that are draining or out of service: all count for the mean.
-    size_t members = 0;
+    // Includes endpoints that are draining or out of service: all count for the mean, but for those
+    // with a rate limit, as long as there are others: they cannot take their part of the load.
+    LoadSum all;
+    LoadSum unlimited;
     for (auto &[key, status] : statuses_) {
         if (!status.present || status.service != request.service || !offers(status, request.model))
             continue;
-        ++members;
-        load += status.load();
-        if (!status.usable || status.dataCentreOut)
-            continue;
-        if (request.excluded && request.excluded->count(key) > 0)
+        all.add(status);
+        if (!status.rateLimiter.isLimited())
+            unlimited.add(status);
+        if (!isEligible(key, status, request))
             continue;
         if (status.backoff.isActive(now)) {
             set.skippedBackoff = true;
             continue;
         }
+        if (!status.rateLimiter.maySend(now)) {
+            set.skippedRateLimited = true;
+            continue;
+        }
         if (status.health.isEjected(now)
             || (status.health.onProbation(now) && status.running > 0)) {
             ejected.push_back({ key, &status, request.promptTokens });
@@ -278,9 +314,9 @@
         set.candidates.push_back({ key, &status, request.promptTokens, 0, cold,
                                    now - status.knownSince > kEstablishedAge });
     }
-    if (set.candidates.empty() && !set.skippedCold)
+    if (set.candidates.empty() && !set.skippedCold && !set.skippedRateLimited)
         set.candidates = std::move(ejected);
-    set.maxLoad = settings_.loadMultiple * load / double(std::max<size_t>(1, members))
+    set.maxLoad = settings_.loadMultiple * (unlimited.members > 0 ? unlimited : all).mean()
             + settings_.loadAllowance;
     return set;
 }
@@ -334,9 +370,10 @@
     CandidateSet set = gatherCandidates(request, now);
     std::vector<Candidate> &candidates = set.candidates;
     if (candidates.empty()) {
-        return tl::unexpected(set.skippedCold              ? PlacementProblem::Cold
-                                      : set.skippedBackoff ? PlacementProblem::Backoff
-                                                           : PlacementProblem::NoEndpoint);
+        return tl::unexpected(set.skippedCold                  ? PlacementProblem::Cold
+                                      : set.skippedRateLimited ? PlacementProblem::RateLimited
+                                      : set.skippedBackoff     ? PlacementProblem::Backoff
+                                                               : PlacementProblem::NoEndpoint);
     }
     const bool engine = !request.model.empty();
     if (engine) {
@@ -351,6 +388,7 @@
     EndpointStatus &chosen = *best.status;
     if (best.cold)
         chosen.warmupLimiter.tryAcquire(sustainablePerSecond(chosen), fleet_, best.key, now);
+    chosen.rateLimiter.onSent(now);
     Placement placement;
     placement.key = best.key;
     placement.uncachedTokens = engine ? best.uncached : 0;
@@ -419,6 +457,37 @@
     return least;
 }
 
+Instant EndpointSelector::rateLimitedUntil(const PlacementRequest &request, size_t ahead,
+                                           Instant now) const
+{
+    // The next times at which each endpoint takes a request, the earliest on top.
+    struct Turn
+    {
+        Instant at {};
+        const EndpointRateLimiter *limiter = nullptr;
+        size_t number = 0;
+
+        bool operator<(const Turn &other) const { return at > other.at; }
+    };
+    std::priority_queue<Turn> turns;
+    for (const auto &[key, status] : statuses_) {
+        const Instant first = status.rateLimiter.sendTime(0);
+        if (status.rateLimiter.isLimited() && first != Instant::max()
+            && isEligible(key, status, request) && !status.backoff.isActive(now))
+            turns.push({ std::max(first, now), &status.rateLimiter, 0 });
+    }
+    while (!turns.empty()) {
+        Turn turn = turns.top();
+        if (ahead == 0)
+            return turn.at;
+        --ahead;
+        turns.pop();
+        turn.at = std::max(turn.limiter->sendTime(++turn.number), now);
+        turns.push(turn);
+    }
+    return Instant::max();
+}
+
 void EndpointSelector::onFirstToken(EndpointKey key, uint32_t pendingTokens, double expectedMillis,
                                     Duration latency)
 {
@@ -516,6 +585,8 @@
         return "no_endpoint";
     case PlacementProblem::Cold:
         return "only_cold_endpoints";
+    case PlacementProblem::RateLimited:
+        return "only_rate_limited_endpoints";
     case PlacementProblem::Backoff:
         return "only_quiet_endpoints";
     }
--- a/routing/endpointselector.h
+++ b/routing/endpointselector.h
@@ -23,12 +23,14 @@
 #include <string_view>
 #include <vector>
 
+#include "fleet/endpointratelimits.h"
 #include "fleet/placementlog.h"
 #include "fleet/roster.h"
 #include "fleet/routertable.h"
 #include "fleet/worksums.h"
 #include "routing/backoffperiod.h"
 #include "routing/endpointhealth.h"
+#include "routing/endpointratelimiter.h"
 #include "routing/prefixcache.h"
 #include "routing/routetable.h"
 #include "routing/warmupratelimiter.h"
@@ -72,6 +74,7 @@
 enum class PlacementProblem {
     NoEndpoint, // none known, or all are draining, out of service or excluded
     Cold, // only cold endpoints are left, and their warm-up rate limit is used up
+    RateLimited, // this router's shares of the limits of all remaining endpoints are used up
     Backoff, // all remaining endpoints asked for a back-off
 };
 
@@ -114,6 +117,7 @@
         EndpointHealth health;
         BackoffPeriod backoff;
         WarmupRateLimiter warmupLimiter;
+        EndpointRateLimiter rateLimiter;
         PrefixCache cache;
 
         uint32_t load() const { return running + othersRunning; }
@@ -129,9 +133,13 @@
     // `uses` have none.
     void setOtherUses(std::span<const EndpointUse> uses);
     void setFleetPosition(FleetPosition fleet) { fleet_ = fleet; }
+    // Applies the rate limits that endpoints have named, and this router's shares of them.
+    void setRateLimits(const EndpointRateLimits &limits, const SharePosition &position,
+                       Instant now);
 
-    // Selects an endpoint for the request and uses its warm-up rate if it is cold; chance is a
-    // random number in [0, 1). Does not count the request as running: see onStarted().
+    // Selects an endpoint for the request and uses its warm-up rate if it is cold, and its rate
+    // limit if it has one; chance is a random number in [0, 1). Does not count the request as
+    // running: see onStarted().
     tl::expected<Placement, PlacementProblem> place(const PlacementRequest &request, Instant now,
                                                     double chance);
 
@@ -144,6 +152,9 @@
     // Time until the first endpoint of a service takes requests again; zero unless all
     // usable endpoints asked for a back-off.
     Duration backoffLeft(std::string_view service, Instant now) const;
+    // When a request that the rate limits leave no endpoint for can be sent, after `ahead` others
+    // of the same kind. Instant::max() if this router has no share of any limit.
+    Instant rateLimitedUntil(const PlacementRequest &request, size_t ahead, Instant now) const;
     // The first token or byte of a response arrived. expectedMillis is Placement::cost.
     void onFirstToken(EndpointKey key, uint32_t pendingTokens, double expectedMillis,
                       Duration latency);
@@ -180,10 +191,13 @@
     {
         std::vector<Candidate> candidates;
         bool skippedCold = false; // some were skipped because of their warm-up rate limit
+        bool skippedRateLimited = false; // some were skipped because of their rate limit
         bool skippedBackoff = false; // some were skipped because they asked for a back-off
         double maxLoad = 0; // limit on an engine's running requests
     };
 
+    static bool isEligible(EndpointKey key, const EndpointStatus &status,
+                           const PlacementRequest &request);
     CandidateSet gatherCandidates(const PlacementRequest &request, Instant now);
     static const Candidate &chooseEngine(const CandidateSet &set);
     static const Candidate &choosePlain(const CandidateSet &set, double chance);
