--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -55,7 +55,7 @@
     def write_settings(self, first_start):
         ports = self.fleet.ports
         lines = ["node:", f"  name: {self.name}", f"  data_centre: {self.data_centre}",
-                 "  stop_within_ms: 8000"]
+                 f"  stop_within_ms: {self.fleet.stop_within_ms}"]
         if self.fleet.link_mbps:
             lines.append(f"  link_mbps: {self.fleet.link_mbps}")
         if self.replica:
@@ -271,6 +271,7 @@
         self.endpoints = []
         self.request_numbers = itertools.count(1)
         self.extra_settings = []  # lines of YAML for every node
+        self.stop_within_ms = 8000  # until the platform would kill a node that stops
         self.link_mbps = None  # link capacity in the settings of every node
 
     def add_routers(self, count):
@@ -404,6 +405,7 @@
     fleet = DirectFleet(build)
     fleet.extra_settings = list(extra_settings)
     fleet.link_mbps = getattr(cases[name], "link_mbps", None)
+    fleet.stop_within_ms = getattr(cases[name], "stop_within_ms", 8000)
     try:
         fleet.start()
         cases[name](fleet)
--- a/testing/reported_test.py
+++ b/testing/reported_test.py
@@ -4,6 +4,7 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import random
@@ -295,10 +296,223 @@
     assert second_sends > 0, "no kept connection was used, so the check is void"
 
 
+FRAMINGS = ("length", "chunks", "close")
+
+
+def write_answer(handler, status_line, headers, body, framing):
+    """Writes an answer as raw bytes; without a length and chunks it ends with the connection."""
+    lines = [status_line] + [f"{name}: {value}" for name, value in headers.items()]
+    if framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "chunks":
+        lines.append("Transfer-Encoding: chunked")
+        body = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+    else:
+        handler.close_connection = True
+    handler.wfile.write("\r\n".join(lines + ["", ""]).encode() + body)
+    handler.wfile.flush()
+
+
+def raw_answer(fleet, request, path, method="POST", router=0):
+    """Sends a request on a connection of its own; returns all bytes until it is closed."""
+    with socket.create_connection(fleet.routers[router].address("callers"), timeout=10) as caller:
+        caller.sendall(f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {request}\r\n"
+                       f"X-Deadline-Ms: 4000\r\nAuthorization: Token key-1\r\n"
+                       f"Connection: close\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+        received = b""
+        while data := caller.recv(65536):
+            received += data
+        return received
+
+
+def error_within_a_stream(fleet):
+    """A stream breaks off, and the endpoint that should resume it answers with something else."""
+    set_up_endpoints(fleet)
+    error = {}  # the next answer to a resumed stream
+
+    def on_request(handler, endpoint):
+        request = handler.headers["X-Attempt-Id"]
+        endpoint.runs.append(request)
+        if "Last-Event-Id" in handler.headers:
+            headers = {"X-Attempt-Id": request, **error["headers"]}
+            write_answer(handler, error["status"], headers, error["body"], error["framing"])
+            return True
+        endpoint.send_stream_head(handler)
+        for event in (1, 2):
+            endpoint.send_chunk(handler, f"id: {event}\ndata: token {event}\n\n".encode())
+        endpoint.send_chunk(handler, b"id: 3\ndata: tok")
+        time.sleep(0.03)
+        endpoint.reset_connection(handler)
+        return True
+
+    for endpoint in fleet.endpoints[2:]:
+        endpoint.on_request = on_request
+    signed = {"X-Server-Signature": "sig"}
+    kinds = [("HTTP/1.1 500 Internal Server Error", signed),
+             ("HTTP/1.1 500 Internal Server Error", {}),
+             ("HTTP/1.1 503 Full", {"X-Not-Executed": "1"}),
+             ("HTTP/1.1 429 Too Many Requests", {"X-Not-Executed": "1", "Retry-After": "0.1"}),
+             ("HTTP/1.1 421 Misdirected Request", {"X-Instance-Id": "other"}),
+             ("HTTP/1.1 404 Not Found", signed),
+             ("HTTP/1.1 200 OK", {}),
+             ("HTTP/1.1 204 No Content", signed),
+             ("HTTP/1.1 200 OK", {**signed, "Content-Encoding": "gzip"}),
+             ("HTTP/1.1 200 OK", signed)]
+    bodies = [b"the error's text", b"id: 3\ndata: the error's text\n\n", b""]
+    resumed = 0
+    for (status, headers), body, framing in itertools.product(kinds, bodies, FRAMINGS):
+        if status.endswith("200 OK") and headers == signed and body.startswith(b"id: 3"):
+            continue  # that is a stream
+        error.update(status=status, headers=headers, body=body, framing=framing)
+        request = f"broken-{resumed}"
+        received = raw_answer(fleet, request, "/stream/1")
+        what = f"{status} {headers} {body} {framing}: {received}"
+        resumed += run_count(fleet, request) > 1
+        assert received.count(b"HTTP/1.1") <= 1 and b"error's" not in received, what
+        if received.startswith(b"HTTP/1.1 200"):
+            events = [line for line in received.split(b"\n") if line.startswith(b"id: ")]
+            assert events == [b"id: 1", b"id: 2"], what
+            assert b"\r\n0\r\n" not in received, "a broken stream looks whole: " + what
+        # An endpoint that is given up for its failures must not make the check void.
+        if resumed % 8 == 0:
+            time.sleep(0.3)
+    assert resumed > 20, f"only {resumed} streams were resumed, so the check is void"
+
+
+def head_cut_short(fleet):
+    """An endpoint closes or resets its connection within the head of its answer."""
+    set_up_endpoints(fleet)
+    cut = {}
+
+    def on_request(handler, endpoint):
+        request = handler.headers["X-Attempt-Id"]
+        if request.startswith("sound"):
+            return False
+        endpoint.runs.append(request)
+        framing = {"length": "Content-Length: 12\r\n", "chunks": "Transfer-Encoding: chunked\r\n",
+                   "close": ""}[cut["framing"]]
+        head = (f"HTTP/1.1 200 OK\r\n{framing}X-Attempt-Id: {request}\r\n"
+                f"X-Server-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n")
+        at = cut["at"] if cut["at"] >= 0 else len(head) + cut["at"]
+        handler.wfile.write(head[:min(at, len(head) - 1)].encode())
+        handler.wfile.flush()
+        time.sleep(0.01)
+        if cut["reset"]:
+            endpoint.reset_connection(handler)
+        handler.close_connection = True
+        return True
+
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = on_request
+    rng = random.Random(SEED)
+    number = 0
+    for path, method in (("/order/1", "POST"), ("/read/1", "GET"), ("/stream/once/1", "POST"),
+                         ("/stream/1", "POST")):
+        for framing, reset in itertools.product(FRAMINGS, (False, True)):
+            cut.update(framing=framing, reset=reset)
+            places = [0, 9, 15, 17] + [rng.randrange(20, 100) for _ in range(3)]
+            for at in places + [-3, -2, -1]:  # the last ones within the empty line
+                cut["at"] = at
+                # A kept connection to the endpoint, in half of the cases.
+                if rng.random() < 0.5:
+                    raw_answer(fleet, f"sound-{number}", path, method)
+                number += 1
+                request = f"cut-{number}"
+                received = raw_answer(fleet, request, path, method)
+                what = f"{path} {framing} reset={reset} at={at}: {received}"
+                status = received.split(b" ", 2)[1] if received else b""
+                assert status in (b"502", b"503"), what
+                runs = run_count(fleet, request)
+                assert runs == 0 or status == b"502", f"a request that ran was rejected: {what}"
+                assert runs <= (2 if path in ("/read/1", "/stream/1") else 1), what
+    assert number > 150, number
+
+
+def send_through_stop(fleet):
+    """Sends requests until a router that stops has ended. Returns a list of (request, seconds after
+    the signal, status or error, whether the answer is whole)."""
+    set_up_endpoints(fleet)
+    router = fleet.routers[0]
+
+    def on_request(handler, endpoint):
+        time.sleep({"/order/slow": 1.8, "/read/slow": 0.2}.get(handler.path, 0.02))
+        return False
+
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = on_request
+        endpoint.slots = 64
+        endpoint.event_interval = 0.3
+    answers = []  # request, seconds after the signal, first line of the answer, whether it is whole
+    stopped_at = time.monotonic() + 0.5
+
+    def send(number, path, method):
+        request = f"late-{number}"
+        began = time.monotonic() - stopped_at
+        try:
+            status, _, body = call(router.address("callers"), method, path,
+                                   b"{}" if method == "POST" else None,
+                                   {"Host": "a.example", "X-Attempt-Id": request,
+                                    "X-Deadline-Ms": "3500", "Authorization": "Token key-1"}, 9)
+            whole = "stream" not in path or status != 200 or body.count(b"\n\n") == 5
+            answers.append((request, began, status, whole))
+        except ConnectionRefusedError:
+            pass  # the process has ended
+        except (OSError, http.client.HTTPException) as problem:
+            answers.append((request, began, type(problem).__name__, False))
+
+    threads = []
+    kinds = (("/order/slow", "POST"), ("/order/1", "POST"), ("/read/slow", "GET"),
+             ("/stream/once/1", "POST"))
+    for number in itertools.count():
+        if number > 20 and not router.alive():
+            break
+        if number == 20:
+            router.send(signal.SIGTERM)
+            stopped_at = time.monotonic()
+        threads.append(threading.Thread(target=send, args=(number, *kinds[number % len(kinds)])))
+        threads[-1].start()
+        time.sleep(0.025)
+    for thread in threads:
+        thread.join()
+    assert not router.alive() and router.popen.returncode == 0
+    return answers
+
+
+def check_late_requests(fleet, answers, grace):
+    """Each request that was passed on has a whole answer, and each that was read has some answer."""
+    passed_on = [item for item in answers if run_count(fleet, item[0]) > 0]
+    cut = [item for item in passed_on if item[2] != 200 or not item[3]]
+    assert not cut, f"{len(cut)} requests that were passed on have no whole answer: {cut[:5]}"
+    unanswered = [item for item in answers if not isinstance(item[2], int)]
+    with open(fleet.routers[0].log, encoding="utf-8") as lines:
+        log = lines.read()
+    # A request that crosses the end of the process was not read, and has no line.
+    read = [item for item in unanswered if f"request={item[0]} " in log]
+    assert not read, f"{len(read)} requests were read and have no answer: {read[:5]}"
+    assert len(unanswered) <= 2, f"{len(unanswered)} requests were not read: {unanswered[:5]}"
+    late = [item for item in passed_on if item[1] > 0.15 * grace]
+    rejected = [item for item in answers if item[2] == 503]
+    assert late and rejected, (len(late), len(rejected))
+
+
+def late_requests_in_planned_stop(fleet):
+    """Requests that come late in the grace of a planned stop are answered or not begun."""
+    check_late_requests(fleet, send_through_stop(fleet), 8)
+
+
+def late_requests_in_short_stop(fleet):
+    """The same with half of the usual grace."""
+    check_late_requests(fleet, send_through_stop(fleet), 4)
+
+
+late_requests_in_short_stop.stop_within_ms = 4000
+
 CASES = {case.__name__: case for case in (late_second_copy, planned_stop_under_load,
                                           malformed_input, reset_without_length,
                                           connections_in_series, paused_leader,
-                                          refusal_written_twice)}
+                                          refusal_written_twice, error_within_a_stream,
+                                          head_cut_short, late_requests_in_planned_stop,
+                                          late_requests_in_short_stop)}
 
 
 if __name__ == "__main__":
