--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -37,9 +37,10 @@
 // The balancer probes every second and turns away after two misses; a connection
 // that it made just before may bring a request a little later.
 constexpr Duration kBalancerTurnsAway = std::chrono::milliseconds(3500);
-// Share of the time until the platform kills the process in which a stop accepts requests: the
-// longest answers need the rest.
-constexpr double kAcceptShare = 0.35;
+// Requests that come later in a stop are refused, also after this share of the time until the
+// platform kills the process: the longest answers need the rest.
+constexpr Duration kLastCall = std::chrono::milliseconds(2800);
+constexpr double kLastCallShare = 0.35;
 // Nothing may have been open for this long before the process ends.
 constexpr Duration kQuiet = std::chrono::milliseconds(300);
 // Share of the time until the platform kills the process that a stop uses.
@@ -458,7 +459,7 @@
         logEvent(LogLevel::Info, "stop_began",
                  { { "open", fmt::to_string(router_ ? router_->openCount() : 0) } });
         if (router_)
-            router_->announceStop(stopBegan_ + stopTime(kAcceptShare));
+            router_->announceStop(stopBegan_ + std::min(kLastCall, stopTime(kLastCallShare)));
         if (replica_ && replica_->maySpeak())
             replica_->handOver();
         const Duration least
