--- a/routing/testing/endpointratelimiter_test.cc
+++ b/routing/testing/endpointratelimiter_test.cc
@@ -110,7 +110,7 @@
         std::vector<Router> routers(2 + random() % 10);
         const double perSecond = 0.5 + double(random() % 120) / 10;
         const uint64_t endpoint = combineHashes(random(), 7);
-        const unsigned trouble = random() % 3; // none, a few, many events
+        const size_t trouble = random() % 3; // none, a few, many events
         std::deque<Instant> sent;
         size_t total = 0;
         constexpr Duration kDay = seconds(60);
