--- a/routing/endpointselector.cc
+++ b/routing/endpointselector.cc
@@ -471,9 +471,13 @@
     };
     std::priority_queue<Turn> turns;
     for (const auto &[key, status] : statuses_) {
+        if (!isEligible(key, status, request) || status.backoff.isActive(now)
+            || status.health.isEjected(now))
+            continue;
+        if (!status.rateLimiter.isLimited())
+            return now;
         const Instant first = status.rateLimiter.sendTime(0);
-        if (status.rateLimiter.isLimited() && first != Instant::max()
-            && isEligible(key, status, request) && !status.backoff.isActive(now))
+        if (first != Instant::max())
             turns.push({ std::max(first, now), &status.rateLimiter, 0 });
     }
     while (!turns.empty()) {
--- a/routing/endpointselector.h
+++ b/routing/endpointselector.h
@@ -153,7 +153,8 @@
     // usable endpoints asked for a back-off.
     Duration backoffLeft(std::string_view service, Instant now) const;
     // When a request that the rate limits leave no endpoint for can be sent, after `ahead` others
-    // of the same kind. Instant::max() if this router has no share of any limit.
+    // of the same kind: `now` if some endpoint has no limit, Instant::max() if this router has no
+    // share of any limit.
     Instant rateLimitedUntil(const PlacementRequest &request, size_t ahead, Instant now) const;
     // The first token or byte of a response arrived. expectedMillis is Placement::cost.
     void onFirstToken(EndpointKey key, uint32_t pendingTokens, double expectedMillis,
