Let a share of a rate limit end by the clock, not at the next report

Cause: whether a router's position is confirmed was computed when a report was answered or once a second, so that a process that was paused sent by a permission that had run out until then (one of the failures that operators of similar systems had). Change: the position carries the time until which it holds: the leader counts the router as alive for that long after its report was sent.

--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -117,7 +117,7 @@
                  observation.perSecond ? fmt::to_string(*observation.perSecond) : "none" },
                { "request", active.caller.id } });
     metrics_.count("bamboogap_endpoint_limit_changes_total");
-    board_.setRateLimits(sync_->limits(), sync_->sharePosition(now), now);
+    board_.setRateLimits(sync_->limits(), sync_->sharePosition(), now);
 }
 
 void DirectRouter::noteAnswer(const Active &active)
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -375,7 +375,7 @@
                           { "running_by_others", standing.othersRunning },
                           { "slowness", standing.latencyRatio } });
                 if (standing.rateLimiter.isLimited())
-                    endpoints.back()["rate_limit_share"] = standing.rateLimiter.perSecond();
+                    endpoints.back()["rate_limit_share"] = standing.rateLimiter.perSecond(now);
             }
             value["endpoints"] = endpoints;
         }
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -99,7 +99,7 @@
     board_.update(sync_->roster(), sync_->dataCentresOut(), sync_->table().get(), now);
     board_.setOtherUses(sync_->others());
     board_.setFleetPosition(sync_->fleet());
-    board_.setRateLimits(sync_->limits(), sync_->sharePosition(now), now);
+    board_.setRateLimits(sync_->limits(), sync_->sharePosition(), now);
     if (!waiting_.empty() && isStarting(now))
         placeWaiting();
 }
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -231,6 +231,7 @@
     if (link.rosterEpoch == 0 || link.addressToldTo != link.rosterEpoch)
         request.setPeerAddress(settings_.peerAddress);
     link.inFlight = true;
+    link.askedAt = BootClock::now();
     const uint64_t attempt = ++link.attempt;
     const Duration limit = link.reachable
             ? std::max<Duration>(kAnswerLimit, fleet_.routers * kAnswerPerRouter)
@@ -403,11 +404,7 @@
         unpackUses(toView(reply.getUses()), others_);
     }
     fleet_ = { std::max<uint32_t>(1, reply.getRouters()), reply.getRank() };
-    // A leader that has not heard from all routers yet tells no number of sharers.
-    if (reply.getLeads() && reply.getSharers() > 0) {
-        leaderPosition_ = { fleet_.routers, std::min(fleet_.rank, fleet_.routers - 1) };
-        positionToldAt_ = now;
-    }
+    notePosition(reply, link.askedAt);
     if (address == sourceOfOthers_)
         readLimits(address, reply);
     link.placementsVersion = reply.getPlacementsVersion();
@@ -613,13 +610,17 @@
     return fmt::format("{:016x}", key);
 }
 
-SharePosition SyncTask::sharePosition(Instant now) const
+// The leader counts this router as alive for some time after its report. A leader that has not
+// heard from all routers yet tells no number of sharers.
+void SyncTask::notePosition(wire::SyncReply::Reader reply, Instant askedAt)
 {
-    SharePosition position = leaderPosition_;
+    if (!reply.getLeads() || reply.getSharers() == 0)
+        return;
+    position_.routers = std::max<uint32_t>(1, reply.getRouters());
+    position_.rank = std::min<uint32_t>(reply.getRank(), position_.routers - 1);
     const Duration aliveTimeout = std::max<Duration>(
-            RouterTable::kAliveTimeout, position.routers * RouterTable::kAliveTimeoutPerRouter);
-    position.isConfirmed = now - positionToldAt_ < aliveTimeout / 5 * 4;
-    return position;
+            RouterTable::kAliveTimeout, position_.routers * RouterTable::kAliveTimeoutPerRouter);
+    position_.confirmedUntil = askedAt + aliveTimeout;
 }
 
 void SyncTask::reportLiving(Incarnation endpoint)
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -80,7 +80,7 @@
     bool observeLimit(const LimitObservation &observation);
     const EndpointRateLimits &limits() const { return limits_; }
     // This router's place among those that share the limits.
-    SharePosition sharePosition(Instant now) const;
+    const SharePosition &sharePosition() const { return position_; }
     // An endpoint that was reported to have crashed goes on.
     void reportLiving(Incarnation endpoint);
     void setSeeds(std::vector<std::string> seeds);
@@ -122,6 +122,7 @@
         uint64_t rosterEpoch = 0;
         uint64_t rosterVersion = 0;
         uint64_t suspectsVersion = 0;
+        Instant askedAt {}; // the report in flight, or the last one
         Instant answeredAt {};
         Instant askAgainAt {};
         Duration retryAfter {};
@@ -143,6 +144,7 @@
     void writeEvidence(const ReplicaLink &link, wire::SyncRequest::Builder request) const;
     void readLimits(const std::string &address, wire::SyncReply::Reader reply);
     std::string endpointName(EndpointKey key) const;
+    void notePosition(wire::SyncReply::Reader reply, Instant askedAt);
     void takePlacements();
     void sync(const std::string &address);
     void onReply(const std::string &address, wire::SyncReply::Reader reply);
@@ -195,8 +197,7 @@
     EndpointRateLimits limits_;
     ReportLog<LimitObservation> limitReports_;
     std::map<EndpointKey, Instant> limitReportedAt_;
-    SharePosition leaderPosition_; // as the leader told last
-    Instant positionToldAt_ {};
+    SharePosition position_;
     bool syncSoon_ = false;
     PlacementLog placements_; // of this router, until every replica has them
     std::string sourceOfOthers_; // the replica that tells what the other routers do
--- a/routing/endpointratelimiter.cc
+++ b/routing/endpointratelimiter.cc
@@ -15,31 +15,36 @@
     const auto first = static_cast<uint32_t>((endpoint >> 32) * position.routers >> 32);
     if ((position.rank + position.routers - first) % position.routers >= holders)
         return 0;
-    const double share = limit / holders;
-    return position.isConfirmed ? share : share * EndpointRateLimiter::kUnconfirmedShare;
+    return limit / holders;
 }
 
 void EndpointRateLimiter::setLimit(std::optional<double> fleetPerSecond, uint64_t endpoint,
                                    const SharePosition &position, Instant now)
 {
+    confirmedUntil_ = position.confirmedUntil;
     if (!fleetPerSecond) {
-        perSecond_.reset();
+        share_.reset();
         return;
     }
     const double share = rateShare(*fleetPerSecond, endpoint, position);
-    const bool hadShare = perSecond_.value_or(0) > 0;
+    const bool hadShare = share_.value_or(0) > 0;
     if (share > 0 && !hadShare)
         lastSentAt_ = now;
-    perSecond_ = share;
+    share_ = share;
 }
 
-Instant EndpointRateLimiter::sendTime(size_t ahead) const
+double EndpointRateLimiter::perSecond(Instant now) const
 {
-    if (!perSecond_)
+    return now < confirmedUntil_ ? *share_ : *share_ * kUnconfirmedShare;
+}
+
+Instant EndpointRateLimiter::sendTime(size_t ahead, Instant now) const
+{
+    if (!share_)
         return Instant::min();
-    if (*perSecond_ <= 0)
+    if (*share_ <= 0)
         return Instant::max();
-    const std::chrono::duration<double> wait(double(ahead + 1) / *perSecond_);
+    const std::chrono::duration<double> wait(double(ahead + 1) / perSecond(now));
     return lastSentAt_ + std::chrono::duration_cast<Duration>(wait);
 }
 
--- a/routing/endpointratelimiter.h
+++ b/routing/endpointratelimiter.h
@@ -23,10 +23,10 @@
 {
     uint32_t routers = 0; // alive, as the leader of the control group told; 0 if it never did
     uint32_t rank = 0; // of this router among them
-    bool isConfirmed = false; // told so lately that no other router has got this one's share
+    Instant confirmedUntil {}; // no other router gets this one's share before
 };
 
-// Requests per second that the router may send to the endpoint.
+// Requests per second that a router with a confirmed position may send to the endpoint.
 double rateShare(double fleetPerSecond, uint64_t endpoint, const SharePosition &position);
 
 class EndpointRateLimiter
@@ -45,17 +45,18 @@
     // Sets the limit in requests per second, or that there is none.
     void setLimit(std::optional<double> fleetPerSecond, uint64_t endpoint,
                   const SharePosition &position, Instant now);
-    bool isLimited() const { return perSecond_.has_value(); }
+    bool isLimited() const { return share_.has_value(); }
     // This router's share in requests per second; only if there is a limit.
-    double perSecond() const { return *perSecond_; }
+    double perSecond(Instant now) const;
 
-    bool maySend(Instant now) const { return now >= sendTime(0); }
+    bool maySend(Instant now) const { return now >= sendTime(0, now); }
     void onSent(Instant now) { lastSentAt_ = now; }
     // When a request may be sent after `ahead` others; Instant::max() if the router has no share.
-    Instant sendTime(size_t ahead) const;
+    Instant sendTime(size_t ahead, Instant now) const;
 
 private:
-    std::optional<double> perSecond_;
+    std::optional<double> share_; // in requests per second, while the position is confirmed
+    Instant confirmedUntil_ {};
     Instant lastSentAt_ {};
 };
 
--- a/routing/endpointselector.cc
+++ b/routing/endpointselector.cc
@@ -476,7 +476,7 @@
             continue;
         if (!status.rateLimiter.isLimited())
             return now;
-        const Instant first = status.rateLimiter.sendTime(0);
+        const Instant first = status.rateLimiter.sendTime(0, now);
         if (first != Instant::max())
             turns.push({ std::max(first, now), &status.rateLimiter, 0 });
     }
@@ -486,7 +486,7 @@
             return turn.at;
         --ahead;
         turns.pop();
-        turn.at = std::max(turn.limiter->sendTime(++turn.number), now);
+        turn.at = std::max(turn.limiter->sendTime(++turn.number, now), now);
         turns.push(turn);
     }
     return Instant::max();
