Report answers of quarantined subjects, too

Cause: read, not seen to fail: routers report answers of what replicas suspect; once there is a verdict the subject is not watched any more, so that an answer whose report takes longer than the wait for the verdict (in a large fleet two rounds of reports are 3.1 s, the wait is 2.6 s) could never end it. Since copies of a request count, such an answer decides. Change: quarantined subjects are watched, at most 256 of a replica's. Test: crash.event_takes_all_endpoints, three times all endpoints crash at once under copies of a request that was answered before: it is not blamed.

--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -50,6 +50,8 @@
 constexpr size_t kMaxPlacementsSent = 256;
 // Urgent reports wait for others of the same crash.
 constexpr Duration kUrgentDelay = std::chrono::milliseconds(20);
+// Suspected and quarantined subjects of a replica whose answers a router reports.
+constexpr size_t kMaxWatched = 256;
 // Between two reports of a limit that an endpoint goes on to name.
 constexpr Duration kLimitRefresh = std::chrono::seconds(1);
 // Replicas that call a router before it knows the control group; a group has fewer members.
@@ -417,8 +419,9 @@
             suspects.push_back({ item.getFingerprint(), readStatus(item.getStanding()) });
         suspects_.assign(address, suspects);
         link.watched.clear();
+        // Also the quarantined ones: an answer may be reported after the verdict.
         for (const SuspectRequest &item : suspects) {
-            if (item.status == SuspicionStatus::Suspect)
+            if (link.watched.size() < kMaxWatched)
                 link.watched.push_back(item.fingerprint);
         }
     }
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -132,7 +132,7 @@
         uint64_t livingSent = 0; // and of livingEndpoints_
         uint64_t limitsSent = 0; // and of limitReports_
         uint64_t limitsVersion = 0; // of the replica's limits, if it is their source
-        std::vector<Fingerprint> watched; // that the replica suspects
+        std::vector<Fingerprint> watched; // that the replica suspects or has quarantined
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
         uint64_t placementsVersion = 0; // of others' placements, if it is their source
     };
--- a/testing/crash_test.py
+++ b/testing/crash_test.py
@@ -195,9 +195,51 @@
     assert service.send_repeatedly(lambda: "key-1") == [503]
 
 
+def event_takes_all_endpoints(fleet):
+    """All endpoints crash at once, for another reason, while copies of a request that was answered
+    before are under way on each. It is not blamed."""
+    fleet.add_routers(4)
+    service = CrashingService(fleet, path="/read/none", back_after=2.0)
+    statuses = []
+    stop = threading.Event()
+
+    def poll(caller):
+        for number in itertools.count(caller):
+            if stop.is_set():
+                return
+            statuses.append((time.monotonic(), service.send(number % 6, "key-1", "/read/popular")))
+
+    def answer_slowly(handler, endpoint):
+        time.sleep(0.1)
+        return False
+
+    for endpoint in fleet.endpoints:
+        endpoint.on_request = answer_slowly
+    callers = [threading.Thread(target=poll, args=(caller,)) for caller in range(24)]
+    for caller in callers:
+        caller.start()
+    for _ in range(3):
+        time.sleep(3)
+        for endpoint in fleet.endpoints:
+            if endpoint.service == "plain" and not endpoint.crashed:
+                endpoint.crash()
+                threading.Timer(service.back_after, service.replace, (endpoint,)).start()
+        time.sleep(service.back_after + 1)
+    began = time.monotonic()
+    time.sleep(3)
+    stop.set()
+    for caller in callers:
+        caller.join()
+    after = [status for at, status in statuses if at > began]
+    assert sum(status == 200 for status in after) > 0.95 * len(after) > 0, \
+        f"{sum(status == 200 for status in after)} of {len(after)} are served"
+    suspects = [item for item in fleet.leader_status()["suspects"] if item["quarantined"]]
+    assert not suspects, suspects
+
+
 CASES = {case.__name__: case for case in
          (one_key, another_key, replaced_keys, copies_at_once, copies_of_an_order_at_once,
-          crash_after_the_attempt, restart_under_same_id)}
+          crash_after_the_attempt, restart_under_same_id, event_takes_all_endpoints)}
 
 
 if __name__ == "__main__":
