--- a/fleet/endpointratelimits.cc
+++ b/fleet/endpointratelimits.cc
@@ -45,8 +45,10 @@
         || (observation.startMillis == last.startMillis && !supersedes(observation, last)))
         return false;
     entry.last = observation;
-    const bool isNews = observation.startMillis > last.startMillis && observation.perSecond;
-    if (!isNews && isSameLimit(observation.perSecond, last.perSecond)) {
+    // Those who know the limit of the incarnation before have to be told.
+    const bool isFirstOfIncarnation
+            = observation.perSecond && observation.startMillis > last.startMillis;
+    if (!isFirstOfIncarnation && isSameLimit(observation.perSecond, last.perSecond)) {
         entry.last.perSecond = last.perSecond; // small changes must not add up unnoticed
         return false;
     }
--- a/fleet/endpointratelimits.h
+++ b/fleet/endpointratelimits.h
@@ -23,8 +23,8 @@
     EndpointKey key = 0;
     int64_t startMillis = 0; // of its incarnation
     std::optional<double> perSecond; // requests of the whole fleet; nothing if none was named
-    Instant sentAt {}; // the request
-    Instant answeredAt {};
+    Instant sentAt {}; // when the request was
+    Instant answeredAt {}; // when the answer's head came
 };
 
 class EndpointRateLimits
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -383,7 +383,7 @@
 }
 
 // Until an endpoint takes requests again that asked for a back-off or named a rate limit.
-Duration DirectRouter::waitForEndpoint(const Active &active) const
+Duration DirectRouter::untilEndpointTakesRequests(const Active &active) const
 {
     const Instant now = BootClock::now();
     const Duration backoff = board_.backoffLeft(active.service, now);
@@ -397,7 +397,7 @@
 {
     ReturnTime time = refusal == Refusal::NoCapacity ? kWhenPlaceFree : kWhenFleetReady;
     if (refusal == Refusal::NoCapacity)
-        time.least = std::max(time.least, waitForEndpoint(active));
+        time.least = std::max(time.least, untilEndpointTakesRequests(active));
     if (stopping_)
         time = kAtOnce;
     return time.least + scaled(time.spread, chance());
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -107,7 +107,7 @@
     void armTimer(Active &active, Instant at);
     Instant attemptLimit(const Active &active) const;
     bool mayRunAgain(const Active &active) const;
-    Duration waitForEndpoint(const Active &active) const;
+    Duration untilEndpointTakesRequests(const Active &active) const;
     Duration returnTime(const Active &active, Refusal refusal);
     PlacementRequest placementRequest(const Active &active) const;
     size_t waitingBefore(const Active &active) const;
