--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,14 +35,6 @@
         super().__init__(fleet, f"i-m{Engine.starts}", "models", fleet.cores[place % 3].zone,
                          slots=96, work=FIRST_EVENT_SECONDS)
         self.place = place
-        self.writers = set()
-
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            await super().serve(reader, writer)
-        finally:
-            self.writers.discard(writer)
 
     async def stream(self, attempt, writer, events=5, gap=0.02):
         headers = next(item[3] for item in reversed(self.arrivals) if item[1] == attempt)
@@ -68,10 +60,8 @@
             return
         Engine.crashes.append(time.monotonic())
         self.fleet.record("crashed", runner=self.name, count=len(Engine.crashes))
-        self.close()
+        self.exit()
         self.server = None
-        for writer in self.writers:
-            writer.transport.abort()
         asyncio.create_task(self.come_back())
 
     async def come_back(self):
--- a/review/standins.py
+++ b/review/standins.py
@@ -406,6 +406,7 @@
         self.answer = None  # replaces the answer to a request: answer(runner, request, writer)
         self.arrivals = []  # (time, attempt id, path, headers, body), without rejected ones
         self.server = self.beats = None
+        self.writers = set()  # of the open connections
         fleet.runners.append(self)
 
     async def start(self):
@@ -420,6 +421,12 @@
         if self.server:
             self.server.close()
 
+    def exit(self):
+        """Ends as a process does: its connections break."""
+        self.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     def body_of_beat(self):
         self.sequence += 1
         return json.dumps({
@@ -440,6 +447,7 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -453,6 +461,7 @@
         except (Broken, ConnectionError):
             pass  # the router closed the connection
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(self, method, path, headers, body, writer):
