--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,76 +1,104 @@
-"""A client hides a request inside the body of another one."""
+"""A runner takes its leave; soon after the acknowledgement all processes of the core are killed."""
 
 import asyncio
 import os
+import random
 import sys
+import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from standins import (BROKEN, HELD, ORDER, READ, TROUBLE, Runner, client_headers, configuration,
-                      exchange, request_bytes, run_case)
+from standins import (BOUNDS, BROKEN, HELD, ORDER, TROUBLE, Broken, KeptConnection, Runner,
+                      client_headers, configuration, run_case)
 
-EACH = 5  # requests of each form
-ANSWER_SECONDS = 0.7
-
-
-def forms(body):
-    """Requests with this body: lines of the head, by the way in which its length is hidden."""
-    length = f"Content-Length: {len(body)}"
-    if not TROUBLE:
-        return {"one length": (f"POST {READ}2f HTTP/1.1", [length])}
-    return {
-        # Well-formed: the length holds whatever the method is.
-        "HEAD with a body": (f"HEAD {READ}2f HTTP/1.1", [length]),
-        # To be refused: RFC 9112, 6.3 and 5.1.
-        "two lengths": (f"POST {READ}2f HTTP/1.1", ["Content-Length: 0", length]),
-        "a space before the colon": (f"POST {READ}2f HTTP/1.1", [length.replace(":", " :")]),
-    }
+PER_SECOND = 59  # requests to the service: the rate of poklop-brno
+CLIENTS = 20
+ROUNDS = 3
+CALM_SECONDS = 5  # before a departure: longer than contactMs
+KILL_AFTER_SECONDS = 0.05  # from the acknowledgement
+BACK_SECONDS = 0.6  # until the killed processes are back: within a second
+SERVES_SECONDS = 10  # that a runner goes on after the acknowledgement: "at times many seconds"
+DRAIN_SECONDS = BOUNDS["drainMs"] / 1000
+CONTACT_SECONDS = BOUNDS["contactMs"] / 1000
+MARGIN_SECONDS = 0.5  # on top of contactMs, in favour of the project
 
 
 async def case(fleet, record):
     await fleet.start(configuration(7))
-    for number in range(3):
+    for number in range(2):
         await Runner(fleet, f"i-o{number}", "orders", fleet.cores[number].zone).start()
     await fleet.ready()
-    edge = fleet.edges[0]
-    attempt = fleet.attempt_id()
-    answer = await exchange(edge.address("frontend"), "POST", ORDER + "2f",
-                            client_headers(attempt), b"{}")
-    record("answered", id=attempt, status=answer.status)
-    hidden = {}  # form by the id inside the body
-    for _ in range(EACH):
-        for form in forms(b""):
-            outer, inner = fleet.attempt_id(), "hidden-" + fleet.attempt_id()
-            hidden[inner] = form
-            body = request_bytes("POST", ORDER + "2f", client_headers(inner), b"{}")
-            line, lengths = forms(body)[form]
-            await send(edge, outer, form, line, lengths, body, record)
-    ran = {}
+    sent = {}  # when the client sent it, by attempt
+    answered = {}  # status by attempt
+    clients = [asyncio.create_task(client(fleet, fleet.edges[number % len(fleet.edges)], sent,
+                                          answered, record)) for number in range(CLIENTS)]
+    late = []
+    for number in range(ROUNDS):
+        late += await departure(fleet, f"i-leaving{number}", sent, record)
+    await asyncio.sleep(1)
+    for task in clients:
+        task.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    lost = 0
     for runner in fleet.runners:
-        for _, attempt, _, _, _ in runner.arrivals:
-            if attempt in hidden:
-                ran[hidden[attempt]] = ran.get(hidden[attempt], 0) + 1
-                record("broken", id=attempt, runner=runner.name, form=hidden[attempt])
-    if ran:
-        return BROKEN, f"UNASKED is broken: orders ran that no client sent, by form: {ran}"
-    return HELD, f"UNASKED holds in {len(hidden)} requests"
+        for _, attempt, *_ in runner.arrivals:
+            if runner.name.startswith("i-leaving") and answered.get(attempt) != 200:
+                lost += 1
+                record("lost", id=attempt, runner=runner.name, status=answered.get(attempt))
+    if late:
+        return BROKEN, (f"DRAIN is broken: {len(late)} orders ran at runners whose departure had "
+                        f"been acknowledged, sent up to {max(late):.1f} s after it; {lost} orders "
+                        "that these runners began were lost")
+    return HELD, f"DRAIN holds in {ROUNDS} departures"
+
+
+async def departure(fleet, name, sent, record):
+    """Returns for each request that was sent too late how long after the acknowledgement."""
+    runner = Runner(fleet, name, "orders", "jm-c")
+    await runner.start()
+    await asyncio.sleep(CALM_SECONDS)
+    runner.beats.cancel()
+    answer, node = await fleet.control("DELETE", f"/v1/instances/{name}")
+    acknowledged = time.monotonic()
+    record("acknowledged", call=f"DELETE /v1/instances/{name}", status=answer.status, by=node.name)
+    from_then = acknowledged + DRAIN_SECONDS
+    if TROUBLE:
+        await asyncio.sleep(KILL_AFTER_SECONDS)
+        for core in fleet.cores:
+            core.kill()
+        record("killed", nodes=",".join(core.name for core in fleet.cores))
+        await asyncio.sleep(BACK_SECONDS)
+        for core in fleet.cores:
+            core.wait()
+            core.start()
+        record("started", nodes=",".join(core.name for core in fleet.cores))
+        from_then = max(from_then, time.monotonic() + CONTACT_SECONDS + MARGIN_SECONDS)
+    await asyncio.sleep(acknowledged + SERVES_SECONDS - time.monotonic())
+    runner.exit()
+    late = []
+    for at, attempt, _, _, _ in runner.arrivals:
+        if sent[attempt] > from_then:
+            late.append(sent[attempt] - acknowledged)
+            record("broken", id=attempt, runner=name,
+                   sent_after_acknowledgement=f"{sent[attempt] - acknowledged:.3f}",
+                   arrived_after=f"{at - acknowledged:.3f}")
+    return late
 
 
-async def send(edge, attempt, form, line, lengths, body, record):
-    """Sends one request and records all bytes that come back."""
-    headers = [f"{name}: {value}" for name, value in client_headers(attempt).items()]
-    data = "\r\n".join([line] + headers + lengths).encode() + b"\r\n\r\n" + body
-    reader, writer = await asyncio.open_connection(*edge.address("frontend"))
-    writer.write(data)
-    record("sent", id=attempt, form=form, bytes=data)
-    received = b""
-    try:
-        async with asyncio.timeout(ANSWER_SECONDS):
-            while part := await reader.read(65536):
-                received += part
-    except (asyncio.TimeoutError, ConnectionError):
-        pass  # the connection is kept, or was reset
-    writer.close()
-    record("received", id=attempt, bytes=received)
+async def client(fleet, edge, sent, answered, record):
+    connection = KeptConnection(edge.address("frontend"))
+    while True:
+        began = time.monotonic()
+        attempt = fleet.attempt_id()
+        sent[attempt] = began
+        record("sent", id=attempt, to=edge.name)
+        try:
+            answer = await connection.ask("POST", ORDER + "2f", client_headers(attempt), b"{}")
+            answered[attempt] = answer.status
+            record("answered", id=attempt, status=answer.status)
+        except (OSError, asyncio.TimeoutError, Broken) as error:
+            record("unanswered", id=attempt, error=repr(error))
+        await asyncio.sleep(max(0.0, began + random.uniform(0.5, 1.5) * CLIENTS / PER_SECOND
+                                - time.monotonic()))
 
 
-run_case(os.path.dirname(os.path.abspath(__file__)), case, edges=1)
+run_case(os.path.dirname(os.path.abspath(__file__)), case, edges=2)
