review: time limits that don't swallow a cancellation; case 4 waits for the last heartbeat before the departure

One of four runs of case 4 ended with 2 after 115 s: asyncio.wait_for of Python 3.11 can lose a cancellation, so that a client never ended. A lost cancellation of the heartbeats would have made the runner known again after its departure; asyncio.timeout has neither effect.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -56,7 +56,8 @@
     runner = Runner(fleet, name, "orders", "jm-c")
     await runner.start()
     await asyncio.sleep(CALM_SECONDS)
-    runner.beats.cancel()
+    runner.beating = False
+    await runner.beats  # no heartbeat is under way any more
     answer, node = await fleet.control("DELETE", f"/v1/instances/{name}")
     acknowledged = time.monotonic()
     record("acknowledged", call=f"DELETE /v1/instances/{name}", status=answer.status, by=node.name)
--- a/review/standins.py
+++ b/review/standins.py
@@ -348,7 +348,8 @@
             return await read_answer(reader)
         finally:
             writer.close()
-    return await asyncio.wait_for(run(), limit)
+    async with asyncio.timeout(limit):
+        return await run()
 
 
 def client_headers(attempt, deadline_ms=1000, **more):
@@ -377,7 +378,8 @@
             await self.send(request_bytes(method, path, headers, body))
             return await read_answer(self.reader)
         try:
-            answer = await asyncio.wait_for(run(), limit)
+            async with asyncio.timeout(limit):
+                answer = await run()
         except (OSError, asyncio.TimeoutError, Broken):
             self.close()
             raise
@@ -406,6 +408,7 @@
         self.answer = None  # replaces the answer to a request: answer(runner, request, writer)
         self.arrivals = []  # (time, attempt id, path, headers, body), without rejected ones
         self.server = self.beats = None
+        self.beating = True
         self.writers = set()  # of the open connections
         fleet.runners.append(self)
 
@@ -439,7 +442,7 @@
         return await self.fleet.control("PUT", f"/v1/instances/{self.name}", self.body_of_beat())
 
     async def beat_on(self):
-        while True:
+        while self.beating:
             try:
                 await self.beat()
             except CannotRun:
@@ -529,6 +532,7 @@
     """Runs case(fleet, record), which returns HELD or BROKEN and a sentence, and ends the script
     with the exit code."""
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    sys.unraisablehook = lambda _: None  # connections that are left when the loop has ended
 
     async def run():
         record = Record(folder)
@@ -536,7 +540,8 @@
         try:
             record("begins", trouble=int(TROUBLE))
             fleet = Fleet(record, **options)
-            result, sentence = await asyncio.wait_for(case(fleet, record), limit)
+            async with asyncio.timeout(limit):
+                result, sentence = await case(fleet, record)
         except (CannotRun, asyncio.TimeoutError, OSError) as error:
             result, sentence = NOT_RUN, f"the case could not run: {error!r}"
         finally:
