Write the lines that are pending at exit from a buffer that still exists

Cause (valgrind): the buffer is constructed after flushLog() was registered to run at exit, so its destructor runs before flushLog(). Change: the buffer is constructed first. Test: red before ("\xe6Q" in place of the year), green after.

--- a/base/log.cc
+++ b/base/log.cc
@@ -39,12 +39,13 @@
 
 static void emit(std::string line, LogLevel level)
 {
+    // At exit, what was registered after the buffer was constructed runs before its destructor.
+    LogBuffer &buffer = logBuffer();
     static const bool flushedAtExit = std::atexit(flushLog) == 0;
     line += '\n';
     const int64_t nowSeconds = std::chrono::duration_cast<std::chrono::seconds>(
                                        std::chrono::steady_clock::now().time_since_epoch())
                                        .count();
-    LogBuffer &buffer = logBuffer();
     const bool urgent = level >= LogLevel::Warning;
     buffer.add(line, urgent, nowSeconds);
     if (urgent || buffer.pending().size() >= kFlushBytes || !flushedAtExit)
--- a/base/testing/base_test.cc
+++ b/base/testing/base_test.cc
@@ -1,3 +1,7 @@
+#include <cstdlib>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 
 #include "base/compress.h"
@@ -36,6 +40,36 @@
     CHECK(buffer.add(line, false, 5000));
 }
 
+// Guards against a buffer that is destroyed before its lines are written at exit.
+TEST_CASE("lines that are pending at exit are written whole")
+{
+    constexpr int kLines = 40; // fewer than are written at once
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    const pid_t child = fork();
+    REQUIRE(child >= 0);
+    if (child == 0) {
+        dup2(ends[1], STDOUT_FILENO);
+        for (int i = 0; i < kLines; ++i)
+            logEvent(LogLevel::Info, "pending", { { "line", std::to_string(i) } });
+        std::exit(0);
+    }
+    close(ends[1]);
+    std::string written;
+    char block[4096];
+    for (ssize_t size = 0; (size = read(ends[0], block, sizeof block)) > 0;)
+        written.append(block, static_cast<size_t>(size));
+    close(ends[0]);
+    int status = 0;
+    REQUIRE(waitpid(child, &status, 0) == child);
+    CHECK(status == 0);
+    CHECK(std::count(written.begin(), written.end(), '\n') >= kLines);
+    const size_t first = written.find("event=pending line=0\n");
+    REQUIRE(first != std::string::npos);
+    const size_t begin = written.rfind('\n', first) + 1; // npos + 1 is 0
+    CHECK(written.substr(begin, 2) == "20"); // the year
+}
+
 TEST_CASE("lines are rate-limited per second, except urgent ones")
 {
     detail::LogBuffer buffer;
