--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -105,6 +105,7 @@
 void ControlTask::start()
 {
     startedAt_ = BootClock::now();
+    leaderChangedAt_ = startedAt_;
     loop_.every(kTick, [this] { tick(); });
     loop_.every(kCoordinate, [this] { coordinate(); });
     loop_.every(settings_.heartbeat, [this] { sampleLoads(); });
@@ -426,10 +427,26 @@
                  "raft message");
 }
 
+void ControlTask::noteLeader()
+{
+    const ReplicaId leader = raft_->leader();
+    if (leader == knownLeader_)
+        return;
+    const Instant now = BootClock::now();
+    logEvent(LogLevel::Info, leader == kNoReplica ? "leader_lost" : "leader_known",
+             { { "leader", fmt::format("{:016x}", leader == kNoReplica ? knownLeader_ : leader) },
+               { "term", fmt::to_string(raft_->term()) },
+               { leader == kNoReplica ? "known_ms" : "unknown_ms",
+                 fmt::to_string(toMillis(now - leaderChangedAt_)) } });
+    knownLeader_ = leader;
+    leaderChangedAt_ = now;
+}
+
 // The coordinator lives from when this replica may first speak in a term until
 // it no longer leads in it.
 void ControlTask::followRole()
 {
+    noteLeader();
     const bool leads = raft_->role() == RaftRole::Leader;
     if (coordinator_ && (!leads || raft_->term() != coordinatorTerm_)) {
         coordinator_.reset();
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -140,6 +140,7 @@
     void sampleLoads();
     void sendMessage(const RaftMessage &message);
     void followRole();
+    void noteLeader();
     void coordinate();
     void askToJoin();
     void formGroup();
@@ -160,6 +161,8 @@
     std::unique_ptr<Coordinator> coordinator_;
     Term coordinatorTerm_ = 0;
     Instant leadsSince_ {}; // meaningful while leading
+    ReplicaId knownLeader_ = kNoReplica;
+    Instant leaderChangedAt_ {}; // when knownLeader_ was set
     LogIndex applied_ = 0;
     size_t bytesSinceSnapshot_ = 0; // of applied entries
     LogIndex committedBefore_ = 0; // by the last look at the membership, while leading
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -52,9 +52,9 @@
 class RouterServer final : public wire::Node::Server
 {
 public:
-    RouterServer(SyncTask &sync, Metrics &metrics)
+    RouterServer(SyncTask &sync, Metrics &metrics, double linkBytesPerSecond)
         : sync_(sync)
-        , traffic_(metrics)
+        , traffic_(metrics, linkBytesPerSecond)
     {
     }
 
@@ -231,9 +231,9 @@
     {
         if (peerServer_ || settings_.listen.peers.empty())
             return {};
-        auto server
-                = PeerServer::listen(loop_, *parseSocketAddress(settings_.listen.peers),
-                                     settings_.fleetKey, kj::heap<RouterServer>(*sync_, metrics_));
+        auto server = PeerServer::listen(
+                loop_, *parseSocketAddress(settings_.listen.peers), settings_.fleetKey,
+                kj::heap<RouterServer>(*sync_, metrics_, settings_.linkBytesPerSecond()));
         if (!server)
             return tl::unexpected(server.error());
         peerServer_ = std::move(*server);
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -180,7 +180,7 @@
     , dialect_(dialect)
     , settings_(std::move(settings))
     , metrics_(metrics)
-    , traffic_(metrics)
+    , traffic_(metrics, settings_.linkBytesPerSecond)
     , roster_(randomEpoch(), settings_.endpointSilence)
     , memoFile_(std::move(memo))
     , departures_(std::move(departures))
@@ -405,6 +405,7 @@
         const size_t most = std::min(kMaxPlacementsTold, kPlacementsInRound / routers);
         const auto placed = placements_.since(placementsVersion, name, most);
         write(placed, reply.initPlacements(placed.size()));
+        traffic_.sentPart(ReportPart::Placements, sizeOf(reply.getPlacements()));
     }
     reply.setPlacementsVersion(placementsVersion);
     const Deployment &deployment = control_.deployment();
@@ -423,10 +424,12 @@
     reply.setRosterFull(changes.full);
     const std::string records = packRecords(changes.records);
     reply.setChanged(toData(records));
+    traffic_.sentPart(ReportPart::Endpoints, records.size());
     if (request.getWantsOthers() && routers_.maySendUses(name, roster_.size() * 8, now)) {
         reply.setHasUses(true);
         const std::string uses = packUses(work_.othersOf(name, routers_.aliveCount(now)));
         reply.setUses(toData(uses));
+        traffic_.sentPart(ReportPart::Loads, uses.size());
     }
     reply.setRouters(routers_.aliveCount(now));
     reply.setRank(routers_.rankOf(name, now));
@@ -447,6 +450,7 @@
     if (request.getWantsOthers()) {
         const auto limits = limits_.changesSince(limitsVersion, kMaxLimitsTold);
         write(limits, reply.initLimits(limits.size()), now);
+        traffic_.sentPart(ReportPart::Limits, sizeOf(reply.getLimits()));
     }
     reply.setLimitsVersion(limitsVersion);
     reply.setLeads(control_.maySpeak());
@@ -459,6 +463,7 @@
             list[i].setFingerprint(told_[i].fingerprint);
             list[i].setStanding(static_cast<uint8_t>(told_[i].status));
         }
+        traffic_.sentPart(ReportPart::Suspects, sizeOf(list));
     }
 }
 
--- a/node/trafficmeter.h
+++ b/node/trafficmeter.h
@@ -1,5 +1,5 @@
 // Bytes that a replica hands to its connections, by what they are for: a counter for each
-// kind, and a log line every few seconds.
+// kind, and a log line every second.
 
 #ifndef BAMBOOGAP_NODE_TRAFFICMETER_H
 #define BAMBOOGAP_NODE_TRAFFICMETER_H
@@ -20,15 +20,27 @@
     Group, // what replicas tell each other of work and endpoints
 };
 
+// Parts of the answers to routers' reports. What is left of an answer has a fixed size.
+enum class ReportPart {
+    Endpoints,
+    Loads, // of the other routers
+    Placements,
+    Limits,
+    Suspects,
+};
+
 class TrafficMeter
 {
 public:
-    explicit TrafficMeter(Metrics &metrics)
+    TrafficMeter(Metrics &metrics, double linkBytesPerSecond)
         : metrics_(metrics)
+        , linkBytesPerSecond_(linkBytesPerSecond)
     {
     }
 
     void sent(Traffic kind, size_t bytes);
+    // Bytes of a message of the kind Report, which are counted there, too.
+    void sentPart(ReportPart part, size_t bytes);
     // A follower acknowledged a heartbeat round of that age.
     void roundAcknowledged(Duration age);
     // Writes the line for what was noted since the last call, unless nothing was.
@@ -36,10 +48,13 @@
 
 private:
     static constexpr size_t kKinds = 5;
+    static constexpr size_t kParts = 5;
 
     Metrics &metrics_;
+    double linkBytesPerSecond_;
     std::array<size_t, kKinds> bytes_ {};
     std::array<size_t, kKinds> messages_ {};
+    std::array<size_t, kParts> partBytes_ {};
     Duration oldestRound_ {};
 };
 
