--- a/control/crashsuspects.cc
+++ b/control/crashsuspects.cc
@@ -210,20 +210,27 @@
     return found != entries_.end() && found->second.quarantined;
 }
 
-std::vector<Fingerprint> CrashSuspects::suspects(size_t maxCount) const
-{
-    std::vector<const std::pair<const Fingerprint, Entry> *> items;
-    for (const auto &item : entries_) {
-        if (!item.second.quarantined)
-            items.push_back(&item);
+std::vector<Fingerprint> CrashSuspects::suspects(size_t maxCount,
+                                                 const std::set<Fingerprint> &preferred) const
+{
+    struct Candidate
+    {
+        size_t crashes;
+        bool isPreferred;
+        Fingerprint subject;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto &[subject, entry] : entries_) {
+        if (!entry.quarantined)
+            candidates.push_back({ entry.crashes.size(), preferred.count(subject) > 0, subject });
     }
-    std::stable_sort(items.begin(), items.end(), [](const auto *a, const auto *b) {
-        return a->second.crashes.size() > b->second.crashes.size();
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+        return std::pair(a.crashes, a.isPreferred) > std::pair(b.crashes, b.isPreferred);
     });
-    items.resize(std::min(items.size(), maxCount));
+    candidates.resize(std::min(candidates.size(), maxCount));
     std::vector<Fingerprint> subjects;
-    for (const auto *item : items)
-        subjects.push_back(item->first);
+    for (const Candidate &candidate : candidates)
+        subjects.push_back(candidate.subject);
     return subjects;
 }
 
--- a/control/crashsuspects.h
+++ b/control/crashsuspects.h
@@ -27,6 +27,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -104,9 +105,10 @@
     std::vector<Fingerprint> takeReleased();
 
     bool isQuarantined(Fingerprint subject) const;
-    // At most maxCount subjects that are not quarantined, those with the most crashes first: their
-    // answers are of interest.
-    std::vector<Fingerprint> suspects(size_t maxCount) const;
+    // At most maxCount subjects that are not quarantined, those with the most crashes first and
+    // `preferred` ones ahead of others with as many: their answers are of interest.
+    std::vector<Fingerprint> suspects(size_t maxCount,
+                                      const std::set<Fingerprint> &preferred = {}) const;
     size_t size() const { return entries_.size(); }
 
 private:
--- a/control/suspectlists.cc
+++ b/control/suspectlists.cc
@@ -1,15 +1,33 @@
 #include "control/suspectlists.h"
 
-#include <algorithm>
-
 namespace bamboogap {
 
 void SuspectLists::assign(std::string_view replica, std::span<const SuspectRequest> suspects)
 {
-    auto &list = byReplica_[std::string(replica)];
-    list.clear();
-    for (const SuspectRequest &item : suspects)
-        list[item.fingerprint] = item.status;
+    Sets &sets = byReplica_[std::string(replica)];
+    sets = {};
+    for (const SuspectRequest &item : suspects) {
+        if (item.status == SuspicionStatus::Quarantined)
+            sets.quarantined.insert(item.fingerprint);
+        else if (item.status == SuspicionStatus::Suspect)
+            sets.watched.insert(item.fingerprint);
+    }
+}
+
+void SuspectLists::applyQuarantined(std::string_view replica, const FingerprintChange &change)
+{
+    change.applyTo(byReplica_[std::string(replica)].quarantined);
+}
+
+void SuspectLists::applyWatched(std::string_view replica, const FingerprintChange &change)
+{
+    change.applyTo(byReplica_[std::string(replica)].watched);
+}
+
+void SuspectLists::dropWatched(std::string_view replica)
+{
+    if (const auto found = byReplica_.find(replica); found != byReplica_.end())
+        found->second.watched.clear();
 }
 
 void SuspectLists::remove(std::string_view replica)
@@ -21,11 +39,28 @@
 SuspicionStatus SuspectLists::statusOf(Fingerprint fingerprint) const
 {
     SuspicionStatus status = SuspicionStatus::Clear;
-    for (const auto &[replica, list] : byReplica_) {
-        if (const auto found = list.find(fingerprint); found != list.end())
-            status = std::max(status, found->second);
+    for (const auto &[replica, sets] : byReplica_) {
+        if (sets.quarantined.count(fingerprint) > 0)
+            return SuspicionStatus::Quarantined;
+        if (sets.watched.count(fingerprint) > 0)
+            status = SuspicionStatus::Suspect;
     }
     return status;
 }
 
+std::set<Fingerprint> SuspectLists::toReport(size_t maxCount) const
+{
+    std::set<Fingerprint> subjects;
+    for (const auto member : { &Sets::watched, &Sets::quarantined }) {
+        for (const auto &[replica, sets] : byReplica_) {
+            for (const Fingerprint fingerprint : sets.*member) {
+                if (subjects.size() >= maxCount)
+                    return subjects;
+                subjects.insert(fingerprint);
+            }
+        }
+    }
+    return subjects;
+}
+
 } // namespace bamboogap
--- a/control/testing/suspectlists_test.cc
+++ b/control/testing/suspectlists_test.cc
@@ -34,5 +34,20 @@
     CHECK(lists.statusOf(1) == SuspicionStatus::Clear);
 }
 
+TEST_CASE("the answers of watched requests are reported ahead of those of quarantined ones")
+{
+    SuspectLists lists;
+    lists.applyQuarantined("a", { 1, true, { 1, 2 }, {} });
+    lists.applyWatched("b", { 1, true, { 5, 6 }, {} });
+    CHECK(lists.toReport(10) == std::set<Fingerprint> { 1, 2, 5, 6 });
+    CHECK(lists.toReport(2) == std::set<Fingerprint> { 5, 6 });
+    lists.applyWatched("b", { 2, false, {}, { 5 } });
+    CHECK(lists.statusOf(5) == SuspicionStatus::Clear);
+    lists.dropWatched("b");
+    lists.dropWatched("c");
+    CHECK(lists.toReport(10) == std::set<Fingerprint> { 1, 2 });
+    CHECK(lists.statusOf(1) == SuspicionStatus::Quarantined);
+}
+
 } // namespace
 } // namespace bamboogap
--- a/node/convert.cc
+++ b/node/convert.cc
@@ -432,4 +432,26 @@
     return observations;
 }
 
+void write(const FingerprintChange &change, wire::FingerprintChange::Builder builder)
+{
+    builder.setVersion(change.version);
+    builder.setFull(change.full);
+    auto added = builder.initAdded(change.added.size());
+    for (size_t i = 0; i < change.added.size(); ++i)
+        added.set(i, change.added[i]);
+    auto removed = builder.initRemoved(change.removed.size());
+    for (size_t i = 0; i < change.removed.size(); ++i)
+        removed.set(i, change.removed[i]);
+}
+
+FingerprintChange read(wire::FingerprintChange::Reader reader)
+{
+    FingerprintChange change { reader.getVersion(), reader.getFull(), {}, {} };
+    for (const Fingerprint fingerprint : reader.getAdded())
+        change.added.push_back(fingerprint);
+    for (const Fingerprint fingerprint : reader.getRemoved())
+        change.removed.push_back(fingerprint);
+    return change;
+}
+
 } // namespace bamboogap
--- a/node/convert.h
+++ b/node/convert.h
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "control/fingerprintchanges.h"
 #include "control/raft.h"
 #include "control/state.h"
 #include "fleet/endpointratelimits.h"
@@ -63,6 +64,9 @@
 void write(const Error &error, wire::Problem::Builder builder);
 Error read(wire::Problem::Reader reader);
 
+void write(const FingerprintChange &change, wire::FingerprintChange::Builder builder);
+FingerprintChange read(wire::FingerprintChange::Reader reader);
+
 // Times are written as milliseconds before `now`.
 void write(std::span<const LimitObservation> observations,
            capnp::List<wire::LimitObservation>::Builder list, Instant now);
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -39,23 +39,33 @@
 // and reports. Reports of a large fleet come less often.
 constexpr Duration kLeastEvidenceDelay = std::chrono::seconds(1);
 constexpr Duration kEvidencePerRouter = std::chrono::milliseconds(8);
-constexpr size_t kMaxWatched = 128;
+constexpr size_t kMaxWatched = 64;
 // Between two looks at the evidence, which takes a while if there are many suspects.
 constexpr Duration kQuarantineCheck = std::chrono::milliseconds(50);
 
-// Placements told in one answer. All routers together get so many in a round of
-// reports, so that a large fleet's news leaves a replica's link to the log: a placement
-// takes some 60 bytes, and a round about 8 ms a router.
+// Placements told in one answer. All routers together get so many in a round of reports, which
+// takes about 8 ms a router.
 constexpr size_t kPlacementsInRound = 3000;
 constexpr size_t kMaxPlacementsTold = 512;
 // Rate limits of endpoints told in one answer.
 constexpr size_t kMaxLimitsTold = 128;
+// Quarantined requests told in one answer.
+constexpr size_t kMaxQuarantinedTold = 256;
 
 // Endpoint records told in one answer, so that a full roster does not hold up the
-// acknowledgements of heartbeats: at 30 bytes a record and 8 ms a router, 240 kB/s. In a
-// small fleet a round takes 250 ms whatever its size, and as many bytes go to fewer routers.
+// acknowledgements of heartbeats. In a small fleet a round takes 250 ms whatever its size, and
+// as many bytes go to fewer routers.
 constexpr size_t kRecordsTold = 64;
 constexpr size_t kRecordsInShortRound = 2000;
+// What routers must know of goes on, a little at a time, while the link's share is used up.
+constexpr size_t kLeastRecordsTold = 8;
+constexpr size_t kLeastQuarantinedTold = 8;
+
+// Typical sizes in a message.
+constexpr size_t kRecordBytes = 30; // packed
+constexpr size_t kPlacementBytes = 60;
+constexpr size_t kLimitBytes = 40;
+constexpr size_t kUseBytes = 8;
 
 uint64_t randomEpoch()
 {
@@ -85,9 +95,9 @@
                    "send the order again if it is still wanted");
 }
 
-template<typename Results> size_t sizeOf(const Results &results)
+template<typename Message> size_t sizeOf(const Message &message)
 {
-    return results.asReader().totalSize().wordCount * sizeof(capnp::word);
+    return message.asReader().totalSize().wordCount * sizeof(capnp::word);
 }
 
 class ReplicaServer final : public ControlServer
@@ -187,7 +197,9 @@
     , startCalls_(loop, peers, settings_.address)
     , spread_({ settings_.linkBytesPerSecond })
     , limits_(randomEpoch())
-    , quarantineVersion_(randomEpoch())
+    , quarantined_(randomEpoch())
+    , watched_(randomEpoch())
+    , replies_(settings_.linkBytesPerSecond)
 {
 }
 
@@ -374,97 +386,202 @@
 void ReplicaFront::sync(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply)
 {
     const Instant now = BootClock::now();
-    const std::string name(toView(request.getRouter()));
-    if (request.getLeaving()) {
-        if (const auto found = routers_.routers().find(name); found != routers_.routers().end())
-            spread_.removePeer(found->second.report.peerAddress);
-        routers_.leave(name, now);
-        work_.remove(name);
-    } else {
-        RouterReport report { name, request.getIncarnation(),
-                              std::string(toView(request.getDataCentre())),
-                              request.getRoutesVersion(),
-                              std::string(toView(request.getPeerAddress())) };
-        if (!report.peerAddress.empty())
-            startCalls_.found(report.peerAddress);
-        if (routers_.routers().count(name) == 0)
-            logEvent(LogLevel::Info, "router_joined", { { "router", name } });
-        if (routers_.report(std::move(report), now)) {
-            noteWork(name, request, now);
-            const RouterReport &known = routers_.routers().find(name)->second.report;
-            spread_.addPeer(known.peerAddress, known.dataCentre, known.routesVersion, now);
-        }
-    }
+    const std::string router(toView(request.getRouter()));
+    noteReporter(router, request, now);
     for (const auto endpoint : request.getLeavingEndpoints())
-        noteLeaving(name, toView(endpoint.getId()), endpoint.getBornMillis());
+        noteLeaving(router, toView(endpoint.getId()), endpoint.getBornMillis());
     for (PromptPlacement &placement : read(request.getPlacements()))
-        placements_.add(name, std::move(placement));
-    const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
-    uint64_t placementsVersion = request.getPlacementsVersion();
+        placements_.add(router, std::move(placement));
+    for (const LimitObservation &observation : read(request.getLimits(), now))
+        limits_.observe(observation);
+    noteEvidence(router, request, now);
+
+    // In the order of their priorities.
+    writeDeployment(request, reply);
+    writePosition(router, reply, now);
+    replies_.spend(sizeOf(reply));
+    writeEndpoints(request, reply, now);
+    writeSuspects(request, reply, now);
+    reply.setPlacementsVersion(request.getPlacementsVersion());
+    reply.setLimitsVersion(request.getLimitsVersion());
     if (request.getWantsOthers()) {
-        const size_t most = std::min(kMaxPlacementsTold, kPlacementsInRound / routers);
-        const auto placed = placements_.since(placementsVersion, name, most);
-        write(placed, reply.initPlacements(placed.size()));
-        traffic_.sentPart(ReportPart::Placements, sizeOf(reply.getPlacements()));
+        writeLimits(request, reply, now);
+        writeLoads(router, reply, now);
+        writePlacements(router, request, reply, now);
     }
-    reply.setPlacementsVersion(placementsVersion);
+}
+
+void ReplicaFront::noteReporter(const std::string &router, wire::SyncRequest::Reader request,
+                                Instant now)
+{
+    if (request.getLeaving()) {
+        if (const auto found = routers_.routers().find(router); found != routers_.routers().end())
+            spread_.removePeer(found->second.report.peerAddress);
+        routers_.leave(router, now);
+        work_.remove(router);
+        return;
+    }
+    RouterReport report { router, request.getIncarnation(),
+                          std::string(toView(request.getDataCentre())), request.getRoutesVersion(),
+                          std::string(toView(request.getPeerAddress())) };
+    if (!report.peerAddress.empty())
+        startCalls_.found(report.peerAddress);
+    if (routers_.routers().count(router) == 0)
+        logEvent(LogLevel::Info, "router_joined", { { "router", router } });
+    if (!routers_.report(std::move(report), now))
+        return;
+    noteWork(router, request, now);
+    const RouterReport &known = routers_.routers().find(router)->second.report;
+    spread_.addPeer(known.peerAddress, known.dataCentre, known.routesVersion, now);
+}
+
+void ReplicaFront::writeDeployment(wire::SyncRequest::Reader request,
+                                   wire::SyncReply::Builder reply)
+{
     const Deployment &deployment = control_.deployment();
     reply.setCurrent(control_.isCurrent());
+    reply.setLeads(control_.maySpeak());
     reply.setRevision(deployment.revision());
     reply.setRoutesVersion(deployment.version());
     auto out = reply.initDataCentresOut(deployment.dataCentresOut().size());
     unsigned index = 0;
     for (const std::string &dataCentre : deployment.dataCentresOut())
         out.set(index++, dataCentre);
+    std::vector<std::string> members;
+    for (const Replica &member : control_.membership().members)
+        members.push_back(member.address);
+    if (request.getReplicasDigest() == digestOfReplicas(members))
+        return;
+    auto replicas = reply.initReplicas(members.size());
+    for (size_t i = 0; i < members.size(); ++i)
+        replicas.set(i, members[i]);
+}
+
+void ReplicaFront::writePosition(const std::string &router, wire::SyncReply::Builder reply,
+                                 Instant now)
+{
+    reply.setRouters(routers_.aliveCount(now));
+    reply.setRank(routers_.rankOf(router, now));
+    reply.setSharers(
+            static_cast<uint16_t>(std::min<uint32_t>(routers_.sharerCount(now), UINT16_MAX)));
+    reply.setFirstProcess(!routers_.mayHavePredecessor(router, now));
+}
+
+void ReplicaFront::writeEndpoints(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply,
+                                  Instant now)
+{
+    const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
+    const size_t most
+            = replies_.itemCount(ReplyBudget::Priority::High, kRecordBytes, kLeastRecordsTold,
+                                 std::max(kRecordsTold, kRecordsInShortRound / routers), now);
     const RosterChanges changes
-            = roster_.changesSince(request.getRosterEpoch(), request.getRosterVersion(), now,
-                                   std::max(kRecordsTold, kRecordsInShortRound / routers));
+            = roster_.changesSince(request.getRosterEpoch(), request.getRosterVersion(), now, most);
     reply.setRosterEpoch(changes.epoch);
     reply.setRosterVersion(changes.version);
     reply.setRosterFull(changes.full);
     const std::string records = packRecords(changes.records);
     reply.setChanged(toData(records));
+    replies_.spend(records.size());
     traffic_.sentPart(ReportPart::Endpoints, records.size());
-    if (request.getWantsOthers() && routers_.maySendUses(name, roster_.size() * 8, now)) {
-        reply.setHasUses(true);
-        const std::string uses = packUses(work_.othersOf(name, routers_.aliveCount(now)));
-        reply.setUses(toData(uses));
-        traffic_.sentPart(ReportPart::Loads, uses.size());
-    }
-    reply.setRouters(routers_.aliveCount(now));
-    reply.setRank(routers_.rankOf(name, now));
-    reply.setSharers(
-            static_cast<uint16_t>(std::min<uint32_t>(routers_.sharerCount(now), UINT16_MAX)));
-    reply.setFirstProcess(!routers_.mayHavePredecessor(name, now));
-    std::vector<std::string> members;
-    for (const Replica &member : control_.membership().members)
-        members.push_back(member.address);
-    if (request.getReplicasDigest() != digestOfReplicas(members)) {
-        auto replicas = reply.initReplicas(members.size());
-        for (size_t i = 0; i < members.size(); ++i)
-            replicas.set(i, members[i]);
-    }
-    for (const LimitObservation &observation : read(request.getLimits(), now))
-        limits_.observe(observation);
-    uint64_t limitsVersion = request.getLimitsVersion();
-    if (request.getWantsOthers()) {
-        const auto limits = limits_.changesSince(limitsVersion, kMaxLimitsTold);
-        write(limits, reply.initLimits(limits.size()), now);
-        traffic_.sentPart(ReportPart::Limits, sizeOf(reply.getLimits()));
+}
+
+void ReplicaFront::writeSuspects(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply,
+                                 Instant now)
+{
+    // Any change of a set changes the sum.
+    const uint64_t version = quarantined_.version() + watched_.version();
+    reply.setSuspectsVersion(version);
+    if (!request.getTakesChanges()) {
+        if (request.getSuspectsVersion() != version)
+            writeAllSuspects(reply);
+        return;
     }
-    reply.setLimitsVersion(limitsVersion);
-    reply.setLeads(control_.maySpeak());
-    noteEvidence(name, request, now);
-    reply.setSuspectsVersion(quarantineVersion_);
-    if (request.getSuspectsVersion() != quarantineVersion_) {
-        reply.setHasSuspects(true);
-        auto list = reply.initSuspects(told_.size());
-        for (size_t i = 0; i < told_.size(); ++i) {
-            list[i].setFingerprint(told_[i].fingerprint);
-            list[i].setStanding(static_cast<uint8_t>(told_[i].status));
+    const auto tell = [&](const FingerprintChange &change, auto &&init) {
+        if (change.empty())
+            return;
+        auto builder = init();
+        write(change, builder);
+        replies_.spend(sizeOf(builder));
+        traffic_.sentPart(ReportPart::Suspects, sizeOf(builder));
+    };
+    const size_t mostQuarantined
+            = replies_.itemCount(ReplyBudget::Priority::High, sizeof(Fingerprint),
+                                 kLeastQuarantinedTold, kMaxQuarantinedTold, now);
+    tell(quarantined_.since(request.getQuarantinedVersion(), mostQuarantined),
+         [&] { return reply.initQuarantined(); });
+    if (!request.getWantsOthers())
+        return;
+    // Removed ones take as many bytes.
+    const size_t mostWatched = replies_.itemCount(ReplyBudget::Priority::Normal,
+                                                  sizeof(Fingerprint), 0, 2 * kMaxWatched, now);
+    tell(watched_.since(request.getWatchedVersion(), mostWatched),
+         [&] { return reply.initWatched(); });
+}
+
+// For routers of an earlier version.
+void ReplicaFront::writeAllSuspects(wire::SyncReply::Builder reply)
+{
+    reply.setHasSuspects(true);
+    const auto &quarantined = quarantined_.members();
+    const auto &watched = watched_.members();
+    auto list = reply.initSuspects(quarantined.size() + watched.size());
+    unsigned index = 0;
+    const auto add = [&](const std::set<Fingerprint> &members, SuspicionStatus status) {
+        for (const Fingerprint fingerprint : members) {
+            list[index].setFingerprint(fingerprint);
+            list[index++].setStanding(static_cast<uint8_t>(status));
         }
-        traffic_.sentPart(ReportPart::Suspects, sizeOf(list));
-    }
+    };
+    add(quarantined, SuspicionStatus::Quarantined);
+    add(watched, SuspicionStatus::Suspect);
+    replies_.spend(sizeOf(list));
+    traffic_.sentPart(ReportPart::Suspects, sizeOf(list));
+}
+
+void ReplicaFront::writeLimits(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply,
+                               Instant now)
+{
+    const size_t most = replies_.itemCount(ReplyBudget::Priority::Normal, kLimitBytes, 0,
+                                           kMaxLimitsTold, now);
+    if (most == 0)
+        return;
+    uint64_t version = request.getLimitsVersion();
+    const auto limits = limits_.changesSince(version, most);
+    reply.setLimitsVersion(version);
+    auto list = reply.initLimits(limits.size());
+    write(limits, list, now);
+    replies_.spend(sizeOf(list));
+    traffic_.sentPart(ReportPart::Limits, sizeOf(list));
+}
+
+void ReplicaFront::writeLoads(const std::string &router, wire::SyncReply::Builder reply,
+                              Instant now)
+{
+    const size_t expected = roster_.size() * kUseBytes;
+    if (replies_.available(ReplyBudget::Priority::Normal, now) < expected
+        || !routers_.maySendUses(router, expected, now))
+        return;
+    reply.setHasUses(true);
+    const std::string uses = packUses(work_.othersOf(router, routers_.aliveCount(now)));
+    reply.setUses(toData(uses));
+    replies_.spend(uses.size());
+    traffic_.sentPart(ReportPart::Loads, uses.size());
+}
+
+void ReplicaFront::writePlacements(const std::string &router, wire::SyncRequest::Reader request,
+                                   wire::SyncReply::Builder reply, Instant now)
+{
+    const size_t routers = std::max<size_t>(1, routers_.aliveCount(now));
+    const size_t most
+            = replies_.itemCount(ReplyBudget::Priority::Low, kPlacementBytes, 0,
+                                 std::min(kMaxPlacementsTold, kPlacementsInRound / routers), now);
+    uint64_t version = request.getPlacementsVersion();
+    const auto placed = placements_.since(version, router, most);
+    reply.setPlacementsVersion(version);
+    auto list = reply.initPlacements(placed.size());
+    write(placed, list);
+    replies_.spend(sizeOf(list));
+    traffic_.sentPart(ReportPart::Placements, sizeOf(list));
 }
 
 void ReplicaFront::noteWork(std::string_view router, wire::SyncRequest::Reader request, Instant now)
@@ -539,20 +656,17 @@
             quarantinedHere_.erase(fingerprint);
         }
     }
-    std::map<Fingerprint, SuspicionStatus> all;
-    for (const Fingerprint subject : crashSuspects_.suspects(kMaxWatched))
-        all[subject] = SuspicionStatus::Suspect;
+    std::set<Fingerprint> quarantined = committedQuarantine_;
     for (const auto &[subject, crashes] : quarantinedHere_)
-        all[subject] = SuspicionStatus::Quarantined;
-    for (const Fingerprint fingerprint : committedQuarantine_)
-        all[fingerprint] = SuspicionStatus::Quarantined;
-    std::vector<SuspectRequest> told;
-    for (const auto &[fingerprint, status] : all)
-        told.push_back({ fingerprint, status });
-    if (told == told_)
-        return;
-    told_ = std::move(told);
-    ++quarantineVersion_;
+        quarantined.insert(subject);
+    quarantined_.assign(quarantined);
+    std::set<Fingerprint> watched;
+    // Each replacement is told to the routers, so the ones that are told already stay.
+    for (const Fingerprint subject : crashSuspects_.suspects(kMaxWatched, watched_.members())) {
+        if (quarantined.count(subject) == 0)
+            watched.insert(subject);
+    }
+    watched_.assign(watched);
 }
 
 // A quarantine that only this process knew would end with it. Tried again from time to time: the
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -10,10 +10,12 @@
 #include "base/pausewatch.h"
 #include "control/crashsuspects.h"
 #include "control/documentpiece.h"
+#include "control/fingerprintchanges.h"
 #include "control/suspects.h"
 #include "fleet/documentdistributor.h"
 #include "fleet/endpointratelimits.h"
 #include "fleet/placementlog.h"
+#include "fleet/replybudget.h"
 #include "fleet/roster.h"
 #include "fleet/routertable.h"
 #include "fleet/worksums.h"
@@ -105,7 +107,21 @@
     kj::Promise<void> storeDeparture(const Departure &departure);
     void storeDepartures();
     void recallDepartures();
+    void noteReporter(const std::string &router, wire::SyncRequest::Reader request, Instant now);
     void noteWork(std::string_view router, wire::SyncRequest::Reader request, Instant now);
+    // Parts of an answer to a report. Each counts its bytes.
+    void writeDeployment(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply);
+    void writePosition(const std::string &router, wire::SyncReply::Builder reply, Instant now);
+    void writeEndpoints(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply,
+                        Instant now);
+    void writeSuspects(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply,
+                       Instant now);
+    void writeAllSuspects(wire::SyncReply::Builder reply);
+    void writeLimits(wire::SyncRequest::Reader request, wire::SyncReply::Builder reply,
+                     Instant now);
+    void writeLoads(const std::string &router, wire::SyncReply::Builder reply, Instant now);
+    void writePlacements(const std::string &router, wire::SyncRequest::Reader request,
+                         wire::SyncReply::Builder reply, Instant now);
     void shareGroup();
     void noteLeaving(std::string_view router, std::string_view endpointId, int64_t bornMillis);
     void noteEvidence(std::string_view router, wire::SyncRequest::Reader request, Instant now);
@@ -166,10 +182,11 @@
     // Quarantined in the log, and so beyond the life of this process; at this version of it.
     std::set<Fingerprint> committedQuarantine_;
     uint64_t committedVersion_ = 0;
-    // Told to the routers: quarantined ones are to be refused, and answers to requests with
-    // suspected ones to be reported. The version differs from those of an earlier process.
-    std::vector<SuspectRequest> told_;
-    uint64_t quarantineVersion_;
+    // Told to the routers: these are to be refused,
+    FingerprintChanges quarantined_;
+    // and answers to these to be reported; told to the routers that have their news from here.
+    FingerprintChanges watched_;
+    ReplyBudget replies_;
 };
 
 } // namespace bamboogap
--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -50,8 +50,8 @@
 constexpr size_t kMaxPlacementsSent = 256;
 // Urgent reports wait for others of the same crash.
 constexpr Duration kUrgentDelay = std::chrono::milliseconds(20);
-// Suspected and quarantined subjects of a replica whose answers a router reports.
-constexpr size_t kMaxWatched = 256;
+// Watched and quarantined subjects whose answers a router reports.
+constexpr size_t kMaxReported = 256;
 // Between two reports of a limit that an endpoint goes on to name.
 constexpr Duration kLimitRefresh = std::chrono::seconds(1);
 // Replicas that call a router before it knows the control group; a group has fewer members.
@@ -171,7 +171,13 @@
         if (link.reachable)
             reachable.push_back(address);
     }
-    sourceOfOthers_ = reportTargetOf(settings_.name, reachable);
+    const std::string before
+            = std::exchange(sourceOfOthers_, reportTargetOf(settings_.name, reachable));
+    if (before == sourceOfOthers_)
+        return;
+    suspects_.dropWatched(before);
+    if (const auto former = links_.find(before); former != links_.end())
+        former->second.watchedVersion = 0;
 }
 
 // A replica's word on endpoints ends with the connection to it, but only while
@@ -197,6 +203,9 @@
     request.setRosterEpoch(link.rosterEpoch);
     request.setRosterVersion(link.rosterVersion);
     request.setSuspectsVersion(link.suspectsVersion);
+    request.setTakesChanges(true);
+    request.setQuarantinedVersion(link.quarantinedVersion);
+    request.setWatchedVersion(link.watchedVersion);
     request.setLeaving(leaving_);
     request.setRoutesVersion(table_ ? table_->version() : 0);
     const bool isSource = address == sourceOfOthers_;
@@ -284,8 +293,10 @@
         living[i].setBornMillis(newLiving[i].bornMillis);
     }
     const AnswerTimes &times = hooks_.answerTimes();
+    // The source told of the watched ones; all replicas need to know of their answers.
+    const std::set<Fingerprint> subjects = suspects_.toReport(kMaxReported);
     std::vector<std::pair<Fingerprint, Instant>> seen;
-    for (const Fingerprint subject : link.watched) {
+    for (const Fingerprint subject : subjects) {
         if (const auto at = times.lastOf(subject))
             seen.emplace_back(subject, *at);
     }
@@ -294,8 +305,9 @@
         answers[i].setSubject(seen[i].first);
         answers[i].setMillisAgo(millisAgo(seen[i].second));
     }
-    if (!link.watched.empty()) {
-        const std::vector<StreamRun> runs = watchedRuns(link);
+    if (!subjects.empty()) {
+        std::vector<StreamRun> runs = hooks_.streamRuns();
+        std::erase_if(runs, [&](const StreamRun &run) { return subjects.count(run.subject) == 0; });
         auto written = request.initStreamRuns(runs.size());
         for (size_t i = 0; i < runs.size(); ++i) {
             written[i].setSubject(runs[i].subject);
@@ -307,16 +319,6 @@
         request.initAnyAnswer().setMillisAgo(millisAgo(*last));
 }
 
-std::vector<StreamRun> SyncTask::watchedRuns(const ReplicaLink &link) const
-{
-    std::vector<StreamRun> runs = hooks_.streamRuns();
-    std::erase_if(runs, [&link](const StreamRun &run) {
-        return std::find(link.watched.begin(), link.watched.end(), run.subject)
-                == link.watched.end();
-    });
-    return runs;
-}
-
 // The attempt that hangs was made while the replica did not run.
 void SyncTask::onReplicaStarted(const std::string &address)
 {
@@ -433,22 +435,32 @@
     link.placementsVersion = reply.getPlacementsVersion();
     if (reply.getPlacements().size() > 0)
         hooks_.learn(read(reply.getPlacements()));
+    readSuspects(address, reply);
+    if (!table_ || reply.getRoutesVersion() > table_->version())
+        fetchRoutes(address);
+    hooks_.changed();
+}
+
+void SyncTask::readSuspects(const std::string &address, wire::SyncReply::Reader reply)
+{
+    ReplicaLink &link = links_[address];
     link.suspectsVersion = reply.getSuspectsVersion();
     if (reply.getHasSuspects()) {
         std::vector<SuspectRequest> suspects;
         for (const auto item : reply.getSuspects())
             suspects.push_back({ item.getFingerprint(), readStatus(item.getStanding()) });
         suspects_.assign(address, suspects);
-        link.watched.clear();
-        // Also the quarantined ones: an answer may be reported after the verdict.
-        for (const SuspectRequest &item : suspects) {
-            if (link.watched.size() < kMaxWatched)
-                link.watched.push_back(item.fingerprint);
-        }
     }
-    if (!table_ || reply.getRoutesVersion() > table_->version())
-        fetchRoutes(address);
-    hooks_.changed();
+    if (reply.hasQuarantined()) {
+        const FingerprintChange change = read(reply.getQuarantined());
+        suspects_.applyQuarantined(address, change);
+        link.quarantinedVersion = change.version;
+    }
+    if (reply.hasWatched() && address == sourceOfOthers_) {
+        const FingerprintChange change = read(reply.getWatched());
+        suspects_.applyWatched(address, change);
+        link.watchedVersion = change.version;
+    }
 }
 
 void SyncTask::fetchRoutes(const std::string &replica)
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -123,7 +123,9 @@
         uint64_t addressToldTo = 0; // the replica's roster epoch that has this router's address
         uint64_t rosterEpoch = 0;
         uint64_t rosterVersion = 0;
-        uint64_t suspectsVersion = 0;
+        uint64_t suspectsVersion = 0; // of the list of a replica that does not tell changes
+        uint64_t quarantinedVersion = 0; // of the replica's sets that this router knows
+        uint64_t watchedVersion = 0;
         Instant askedAt {}; // the report in flight, or the last one
         Instant answeredAt {};
         Instant askAgainAt {};
@@ -134,7 +136,6 @@
         uint64_t livingSent = 0; // and of livingEndpoints_
         uint64_t limitsSent = 0; // and of limitReports_
         uint64_t limitsVersion = 0; // of the replica's limits, if it is their source
-        std::vector<Fingerprint> watched; // that the replica suspects or has quarantined
         uint64_t placementsSent = 0; // versions of placements_ that the replica has
         uint64_t placementsVersion = 0; // of others' placements, if it is their source
     };
@@ -144,7 +145,7 @@
     void syncSoon();
     void syncSource();
     void writeEvidence(const ReplicaLink &link, wire::SyncRequest::Builder request) const;
-    std::vector<StreamRun> watchedRuns(const ReplicaLink &link) const;
+    void readSuspects(const std::string &address, wire::SyncReply::Reader reply);
     void readLimits(const std::string &address, wire::SyncReply::Reader reply);
     std::string endpointName(EndpointKey key) const;
     void notePosition(wire::SyncReply::Reader reply, Instant askedAt);
--- a/node/testing/replicafront_test.cc
+++ b/node/testing/replicafront_test.cc
@@ -47,6 +47,9 @@
         request.setPlacementsVersion(known.placementsVersion);
         request.setLimitsVersion(known.limitsVersion);
         request.setSuspectsVersion(known.suspectsVersion);
+        request.setTakesChanges(takesChanges);
+        request.setQuarantinedVersion(known.quarantinedVersion);
+        request.setWatchedVersion(known.watchedVersion);
         request.setReportsToSourceOnly(true);
         request.setWantsOthers(isSource);
         writeCrashes(crashes, request.initCrashEvidence(crashes.size()));
@@ -58,11 +61,21 @@
         known.placementsVersion = reply.getPlacementsVersion();
         known.limitsVersion = reply.getLimitsVersion();
         known.suspectsVersion = reply.getSuspectsVersion();
+        if (reply.hasQuarantined())
+            known.quarantinedVersion = reply.getQuarantined().getVersion();
+        if (reply.hasWatched())
+            known.watchedVersion = reply.getWatched().getVersion();
+        lastSuspectsTold = reply.getSuspects().size();
+        lastWatchedTold = reply.getWatched().getAdded().size();
         return answered.sizeInWords() * sizeof(capnp::word);
     }
 
     void wait(Duration length) { loop_.run(loop_.sleep(length)); }
 
+    bool takesChanges = true; // false: a router of an earlier version
+    size_t lastSuspectsTold = 0; // in the list for earlier versions
+    size_t lastWatchedTold = 0;
+
 private:
     static constexpr const char *kAddress = "127.0.0.1:1";
 
@@ -73,6 +86,8 @@
         uint64_t placementsVersion = 0;
         uint64_t limitsVersion = 0;
         uint64_t suspectsVersion = 0;
+        uint64_t quarantinedVersion = 0;
+        uint64_t watchedVersion = 0;
     };
 
     std::unique_ptr<ControlTask> openControl()
@@ -150,5 +165,32 @@
     CHECK(double(bytes) / took.count() < kMaxLinkShare * kLinkBytesPerSecond);
 }
 
+TEST_CASE("suspects are told to the routers that have their news from the replica")
+{
+    Reports reports;
+    std::mt19937_64 random(41);
+    const std::vector<CrashEvidence> evidence = brokenRequest(random);
+    reports.report(0, evidence, false);
+    CHECK(reports.lastWatchedTold == 0);
+    reports.report(1, {}, true);
+    CHECK(reports.lastWatchedTold == evidence.size());
+    reports.report(1, {}, true);
+    CHECK(reports.lastWatchedTold == 0); // it knows them
+    CHECK(reports.lastSuspectsTold == 0);
+}
+
+TEST_CASE("a router of an earlier version is told the whole list of suspects")
+{
+    Reports reports;
+    reports.takesChanges = false;
+    std::mt19937_64 random(41);
+    const std::vector<CrashEvidence> evidence = brokenRequest(random);
+    reports.report(0, evidence, false);
+    CHECK(reports.lastSuspectsTold == evidence.size());
+    reports.report(0, {}, false);
+    CHECK(reports.lastSuspectsTold == 0); // it has this version
+    CHECK(reports.lastWatchedTold == 0);
+}
+
 } // namespace
 } // namespace bamboogap
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -275,6 +275,14 @@
   bornMillis @1 :Int64;  # of the incarnation that said so
 }
 
+# What a receiver of a changing set is told; see control/fingerprintchanges.h.
+struct FingerprintChange {
+  version @0 :UInt64;
+  full @1 :Bool;
+  added @2 :List(UInt64);
+  removed @3 :List(UInt64);
+}
+
 struct SyncRequest {
   router @0 :Text;
   incarnation @1 :UInt64;
@@ -283,7 +291,7 @@
   rosterVersion @4 :UInt64;
   uses @5 :List(EndpointUse);
   crashes @6 :List(CrashReport);  # not used any more; see crashEvidence
-  suspectsVersion @7 :UInt64;
+  suspectsVersion @7 :UInt64;  # of the list in the answers of replicas before takesChanges
   leaving @8 :Bool;
   routesVersion @9 :UInt64;  # that the router acts by
   placements @10 :List(PromptPlacement);  # since the last sync that was answered
@@ -300,6 +308,9 @@
   limits @21 :List(LimitObservation);  # since the last sync that was answered
   limitsVersion @22 :UInt64;  # of the replica's limits that the router knows
   streamRuns @23 :List(StreamRun);  # with what the replica suspects
+  takesChanges @24 :Bool;  # of the quarantined and the watched
+  quarantinedVersion @25 :UInt64;  # of the replica's set that the router knows
+  watchedVersion @26 :UInt64;
 }
 
 struct SyncReply {
@@ -315,7 +326,7 @@
   routers @9 :UInt16;  # heard a moment ago, this one included
   replicas @10 :List(Text);  # empty if the router has the same list
   suspectsVersion @11 :UInt64;
-  suspects @12 :List(SuspectChange);
+  suspects @12 :List(SuspectChange);  # all, for routers before takesChanges
   hasSuspects @13 :Bool;
   rank @14 :UInt16;  # of this router among them, by name
   placements @15 :List(PromptPlacement);  # by other routers
@@ -326,6 +337,8 @@
   leads @20 :Bool;  # the replica leads the group
   limits @21 :List(LimitObservation);  # changed since the version in the request
   limitsVersion @22 :UInt64;
+  quarantined @23 :FingerprintChange;  # requests to refuse
+  watched @24 :FingerprintChange;  # suspects whose answers to report, if asked with wantsOthers
 }
 
 interface AnswerSink {
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -62,6 +62,7 @@
 CAPNP_DECLARE_SCHEMA(b60c2c4b174015c3);
 CAPNP_DECLARE_SCHEMA(feb63fcaccb42682);
 CAPNP_DECLARE_SCHEMA(ba2f66fed2b87cd7);
+CAPNP_DECLARE_SCHEMA(b14418f6d07f2ab1);
 CAPNP_DECLARE_SCHEMA(9079cdf40b7c7355);
 CAPNP_DECLARE_SCHEMA(c20538f9036bc713);
 CAPNP_DECLARE_SCHEMA(a4b62f89f58a954a);
@@ -570,6 +571,21 @@
   };
 };
 
+struct FingerprintChange {
+  FingerprintChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b14418f6d07f2ab1, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SyncRequest {
   SyncRequest() = delete;
 
@@ -578,7 +594,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 9, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(9079cdf40b7c7355, 11, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -593,7 +609,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c20538f9036bc713, 8, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c20538f9036bc713, 8, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4518,6 +4534,109 @@
 };
 #endif  // !CAPNP_LITE
 
+class FingerprintChange::Reader {
+public:
+  typedef FingerprintChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool getFull() const;
+
+  inline bool hasAdded() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAdded() const;
+
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRemoved() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FingerprintChange::Builder {
+public:
+  typedef FingerprintChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool getFull();
+  inline void setFull(bool value);
+
+  inline bool hasAdded();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAdded();
+  inline void setAdded( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAdded(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAdded(unsigned int size);
+  inline void adoptAdded(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAdded();
+
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRemoved(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRemoved();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FingerprintChange::Pipeline {
+public:
+  typedef FingerprintChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SyncRequest::Reader {
 public:
   typedef SyncRequest Reads;
@@ -4596,6 +4715,12 @@
   inline bool hasStreamRuns() const;
   inline  ::capnp::List< ::bamboogap::wire::StreamRun,  ::capnp::Kind::STRUCT>::Reader getStreamRuns() const;
 
+  inline bool getTakesChanges() const;
+
+  inline  ::uint64_t getQuarantinedVersion() const;
+
+  inline  ::uint64_t getWatchedVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4748,6 +4873,15 @@
   inline void adoptStreamRuns(::capnp::Orphan< ::capnp::List< ::bamboogap::wire::StreamRun,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bamboogap::wire::StreamRun,  ::capnp::Kind::STRUCT>> disownStreamRuns();
 
+  inline bool getTakesChanges();
+  inline void setTakesChanges(bool value);
+
+  inline  ::uint64_t getQuarantinedVersion();
+  inline void setQuarantinedVersion( ::uint64_t value);
+
+  inline  ::uint64_t getWatchedVersion();
+  inline void setWatchedVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4845,6 +4979,12 @@
 
   inline  ::uint64_t getLimitsVersion() const;
 
+  inline bool hasQuarantined() const;
+  inline  ::bamboogap::wire::FingerprintChange::Reader getQuarantined() const;
+
+  inline bool hasWatched() const;
+  inline  ::bamboogap::wire::FingerprintChange::Reader getWatched() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4972,6 +5112,20 @@
   inline  ::uint64_t getLimitsVersion();
   inline void setLimitsVersion( ::uint64_t value);
 
+  inline bool hasQuarantined();
+  inline  ::bamboogap::wire::FingerprintChange::Builder getQuarantined();
+  inline void setQuarantined( ::bamboogap::wire::FingerprintChange::Reader value);
+  inline  ::bamboogap::wire::FingerprintChange::Builder initQuarantined();
+  inline void adoptQuarantined(::capnp::Orphan< ::bamboogap::wire::FingerprintChange>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::FingerprintChange> disownQuarantined();
+
+  inline bool hasWatched();
+  inline  ::bamboogap::wire::FingerprintChange::Builder getWatched();
+  inline void setWatched( ::bamboogap::wire::FingerprintChange::Reader value);
+  inline  ::bamboogap::wire::FingerprintChange::Builder initWatched();
+  inline void adoptWatched(::capnp::Orphan< ::bamboogap::wire::FingerprintChange>&& value);
+  inline ::capnp::Orphan< ::bamboogap::wire::FingerprintChange> disownWatched();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4990,6 +5144,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bamboogap::wire::FingerprintChange::Pipeline getQuarantined();
+  inline  ::bamboogap::wire::FingerprintChange::Pipeline getWatched();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -12173,6 +12329,110 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FingerprintChange::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FingerprintChange::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FingerprintChange::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FingerprintChange::Reader::getFull() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool FingerprintChange::Builder::getFull() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void FingerprintChange::Builder::setFull(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FingerprintChange::Reader::hasAdded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FingerprintChange::Builder::hasAdded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FingerprintChange::Reader::getAdded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FingerprintChange::Builder::getAdded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FingerprintChange::Builder::setAdded( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void FingerprintChange::Builder::setAdded(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FingerprintChange::Builder::initAdded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FingerprintChange::Builder::adoptAdded(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FingerprintChange::Builder::disownAdded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FingerprintChange::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FingerprintChange::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FingerprintChange::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FingerprintChange::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FingerprintChange::Builder::setRemoved( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void FingerprintChange::Builder::setRemoved(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FingerprintChange::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FingerprintChange::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FingerprintChange::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool SyncRequest::Reader::hasRouter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12774,6 +13034,48 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline bool SyncRequest::Reader::getTakesChanges() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncRequest::Builder::getTakesChanges() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<259>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setTakesChanges(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<259>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncRequest::Reader::getQuarantinedVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getQuarantinedVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setQuarantinedVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SyncRequest::Reader::getWatchedVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SyncRequest::Builder::getWatchedVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void SyncRequest::Builder::setWatchedVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SyncReply::Reader::getCurrent() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -13244,6 +13546,84 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncReply::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::FingerprintChange::Reader SyncReply::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::FingerprintChange::Builder SyncReply::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::FingerprintChange::Pipeline SyncReply::Pipeline::getQuarantined() {
+  return  ::bamboogap::wire::FingerprintChange::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void SyncReply::Builder::setQuarantined( ::bamboogap::wire::FingerprintChange::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::FingerprintChange::Builder SyncReply::Builder::initQuarantined() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::bamboogap::wire::FingerprintChange>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::FingerprintChange> SyncReply::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool SyncReply::Reader::hasWatched() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasWatched() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bamboogap::wire::FingerprintChange::Reader SyncReply::Reader::getWatched() const {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::bamboogap::wire::FingerprintChange::Builder SyncReply::Builder::getWatched() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bamboogap::wire::FingerprintChange::Pipeline SyncReply::Pipeline::getWatched() {
+  return  ::bamboogap::wire::FingerprintChange::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void SyncReply::Builder::setWatched( ::bamboogap::wire::FingerprintChange::Reader value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::bamboogap::wire::FingerprintChange::Builder SyncReply::Builder::initWatched() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::adoptWatched(
+    ::capnp::Orphan< ::bamboogap::wire::FingerprintChange>&& value) {
+  ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bamboogap::wire::FingerprintChange> SyncReply::Builder::disownWatched() {
+  return ::capnp::_::PointerHelpers< ::bamboogap::wire::FingerprintChange>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
