--- a/control/testing/cluster.h
+++ b/control/testing/cluster.h
@@ -205,6 +205,9 @@
         runUntil([] { return false; }, length);
     }
 
+    // Other data that a node sends: messages after it wait until it has passed the node's link.
+    void sendOther(size_t from, size_t bytes) { (void)queueOnLink(from, bytes); }
+
     // Drops all messages in one direction until heal() is called.
     void cutLink(size_t from, size_t to) { cutLinks_.insert({ from, to }); }
     void isolate(size_t i)
@@ -279,16 +282,15 @@
         return bytes;
     }
 
-    // Queues a message on its sender's link; returns the time until it has passed the link.
-    Duration queueOnLink(size_t from, const RaftMessage &message)
+    // Queues data on its sender's link; returns the time until it has passed the link.
+    Duration queueOnLink(size_t from, size_t bytes)
     {
         if (faults.linkBytesPerSecond <= 0)
             return {};
-        const std::chrono::duration<double> seconds(double(messageBytes(message))
-                                                    / faults.linkBytesPerSecond);
+        const std::chrono::duration<double> seconds(double(bytes) / faults.linkBytesPerSecond);
         Instant &busyUntil = linkBusyUntil_[from];
         busyUntil = std::max(busyUntil, now) + std::chrono::duration_cast<Duration>(seconds);
-        sentBytes[from] += messageBytes(message);
+        sentBytes[from] += bytes;
         return busyUntil - now;
     }
 
@@ -304,7 +306,7 @@
                                                                         : 1;
             for (int copy = 0; copy < copies; ++copy) {
                 const Duration delay(random_() % (faults.maxDelay.count() + 1));
-                const Duration link = queueOnLink(from, message);
+                const Duration link = queueOnLink(from, messageBytes(message));
                 if (link <= faults.maxLinkDelay)
                     messagesInFlight_.emplace(now + link + delay, std::pair { to, message });
             }
