The leader tells routers of an owners' fleet which suspects have changed

SuspectRequests remember which requests changed at which version (2,048 of them, not saved), and a router is sent these; all of them only if its version is older, or it runs an earlier version of the program.

--- a/control/suspects.h
+++ b/control/suspects.h
@@ -11,7 +11,10 @@
 #define BAMBOOGAP_CONTROL_SUSPECTS_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -77,6 +80,11 @@
 
     // All requests that are not clear, for routers that hold another version.
     std::vector<SuspectRequest> all() const;
+    // The requests whose status may have changed after `version`, Clear ones included; nothing if
+    // that version is too old or not one of this log's. Not saved: empty after load().
+    std::optional<std::vector<SuspectRequest>> changesSince(uint64_t version) const;
+    // Changes that are kept for changesSince().
+    static constexpr size_t kMaxChanges = 2048;
 
     nlohmann::json save() const;
     // Restores what save() returned. Throws a nlohmann::json::exception if it is malformed.
@@ -89,13 +97,25 @@
         int64_t lastMillis = 0; // time of the last crash
     };
 
+    struct Change
+    {
+        uint64_t version = 0;
+        Fingerprint fingerprint = 0;
+    };
+
+    // Removes the entries for which the condition holds, and returns their fingerprints.
+    template<typename Condition> std::vector<Fingerprint> removeIf(Condition condition);
+    // Raises the version unless nothing has changed.
+    void noteChanges(std::span<const Fingerprint> changed);
     bool isQuarantined(const Entry &entry) const;
     int64_t expiryMillis(const Entry &entry) const;
-    void evictOldest();
+    std::vector<Fingerprint> evictOldest();
 
     SuspectLimits limits_;
     std::map<Fingerprint, Entry> entries_;
     uint64_t version_ = 0;
+    std::deque<Change> changes_; // after changesFrom_, the oldest first
+    uint64_t changesFrom_ = 0;
 };
 
 } // namespace bamboogap
--- a/fleet/coordinator.cc
+++ b/fleet/coordinator.cc
@@ -56,8 +56,13 @@
     if (heartbeat.knownRevision < state.lists().revision)
         reply.lists = state.lists();
     reply.suspectsVersion = state.suspects().version();
-    if (heartbeat.knownSuspects != reply.suspectsVersion)
-        reply.suspects = state.suspects().all();
+    if (heartbeat.knownSuspects != reply.suspectsVersion) {
+        if (heartbeat.takesSuspectChanges)
+            reply.suspects = state.suspects().changesSince(heartbeat.knownSuspects);
+        reply.suspectsAreChanges = reply.suspects.has_value();
+        if (!reply.suspects)
+            reply.suspects = state.suspects().all();
+    }
     reply.registryReady = registryReady(view, now);
     if (reply.registryReady) {
         reply.registryDelta
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -43,6 +43,7 @@
     Epoch knownEpoch = 0; // epoch of the view that the router has applied
     Revision knownRevision = 0; // revision of the lists that the router has applied
     uint64_t knownSuspects = 0; // version of the suspects that the router has applied
+    bool takesSuspectChanges = true; // false: a router of an earlier version
     uint64_t leaderTerm = 0; // term of the leader that sent the last reply
     // Term and version of the last registry delta that the router has applied.
     uint64_t registryTerm = 0;
@@ -73,6 +74,7 @@
     Epoch activeEpoch = 0; // endpoints gained up to this epoch may be used
     std::optional<OperatorLists> lists;
     std::optional<std::vector<SuspectRequest>> suspects;
+    bool suspectsAreChanges = false; // of the router's version; else `suspects` replaces all
     uint64_t suspectsVersion = 0;
     RegistryDelta registryDelta;
     bool registryReady = false; // if false, the router keeps the endpoints that it knows
--- a/fleet/member.cc
+++ b/fleet/member.cc
@@ -85,9 +85,14 @@
         update.lists = true;
     }
     if (reply.suspects) {
-        suspects_.clear();
-        for (const SuspectRequest &change : *reply.suspects)
-            suspects_[change.fingerprint] = change.status;
+        if (!reply.suspectsAreChanges)
+            suspects_.clear();
+        for (const SuspectRequest &change : *reply.suspects) {
+            if (change.status == SuspicionStatus::Clear)
+                suspects_.erase(change.fingerprint);
+            else
+                suspects_[change.fingerprint] = change.status;
+        }
         suspectsVersion_ = reply.suspectsVersion;
     }
     if (reply.registryReady) {
--- a/node/convert.cc
+++ b/node/convert.cc
@@ -135,6 +135,7 @@
     builder.setKnownEpoch(heartbeat.knownEpoch);
     builder.setKnownRevision(heartbeat.knownRevision);
     builder.setKnownSuspects(heartbeat.knownSuspects);
+    builder.setTakesSuspectChanges(heartbeat.takesSuspectChanges);
     builder.setLeaderTerm(heartbeat.leaderTerm);
     builder.setRegisterTerm(heartbeat.registryTerm);
     builder.setRegisterVersion(heartbeat.registryVersion);
@@ -179,6 +180,7 @@
     heartbeat.knownEpoch = reader.getKnownEpoch();
     heartbeat.knownRevision = reader.getKnownRevision();
     heartbeat.knownSuspects = reader.getKnownSuspects();
+    heartbeat.takesSuspectChanges = reader.getTakesSuspectChanges();
     heartbeat.leaderTerm = reader.getLeaderTerm();
     heartbeat.registryTerm = reader.getRegisterTerm();
     heartbeat.registryVersion = reader.getRegisterVersion();
@@ -223,6 +225,7 @@
         builder.setLists(toData(toCbor(toJson(*reply.lists))));
     builder.setSuspectsVersion(reply.suspectsVersion);
     builder.setHasSuspects(reply.suspects.has_value());
+    builder.setSuspectsAreChanges(reply.suspectsAreChanges);
     if (reply.suspects) {
         auto suspects = builder.initSuspects(reply.suspects->size());
         for (size_t i = 0; i < reply.suspects->size(); ++i) {
@@ -278,6 +281,7 @@
         reply.lists = std::move(*lists);
     }
     reply.suspectsVersion = reader.getSuspectsVersion();
+    reply.suspectsAreChanges = reader.getSuspectsAreChanges();
     if (reader.getHasSuspects()) {
         reply.suspects.emplace();
         for (const auto item : reader.getSuspects()) {
--- a/node/wire.capnp
+++ b/node/wire.capnp
@@ -85,6 +85,7 @@
   pools @11 :List(PoolLoad);
   sample @12 :UInt64;
   knownLimits @13 :UInt64;
+  takesSuspectChanges @14 :Bool;
 }
 
 struct View {
@@ -123,6 +124,7 @@
   rampLimits @17 :List(UInt16);  # by slot; empty if the router knows them
   pools @18 :List(PoolLoad);
   limitsVersion @19 :UInt64;
+  suspectsAreChanges @20 :Bool;  # of the version in the heartbeat; else they are all
 }
 
 # ---- Requests between the entry router and an endpoint's owner ----------------
--- a/node/wire.capnp.h
+++ b/node/wire.capnp.h
@@ -2198,6 +2198,8 @@
 
   inline  ::uint64_t getKnownLimits() const;
 
+  inline bool getTakesSuspectChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2284,6 +2286,9 @@
   inline  ::uint64_t getKnownLimits();
   inline void setKnownLimits( ::uint64_t value);
 
+  inline bool getTakesSuspectChanges();
+  inline void setTakesSuspectChanges(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2629,6 +2634,8 @@
 
   inline  ::uint64_t getLimitsVersion() const;
 
+  inline bool getSuspectsAreChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2752,6 +2759,9 @@
   inline  ::uint64_t getLimitsVersion();
   inline void setLimitsVersion( ::uint64_t value);
 
+  inline bool getSuspectsAreChanges();
+  inline void setSuspectsAreChanges(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10023,6 +10033,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::getTakesSuspectChanges() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<449>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getTakesSuspectChanges() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<449>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setTakesSuspectChanges(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<449>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t View::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10604,6 +10628,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HeartbeatReply::Reader::getSuspectsAreChanges() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+
+inline bool HeartbeatReply::Builder::getSuspectsAreChanges() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+inline void HeartbeatReply::Builder::setSuspectsAreChanges(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
