An order for a document that is installed or proposed already is not logged again

"routes 40" timed out at a replica 270 ms after "routes 44" was in force. Each try of an order went to the leader, 20 KB, and into the log, 20 KB to each of four followers, also when its version could change nothing any more.

Change: the highest version wins and what is committed stays, so any replica that has applied the same or a higher version acknowledges the order at once, or as soon as it has; the leader lets an order wait for a proposed entry that is as new (control/proposedinstalls).

--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -147,16 +147,15 @@
 {
     if (failed_)
         return Result<CommandAnswer>(notLeader());
-    auto index = raft_->propose(encodeCommand(command), BootClock::now());
-    if (!index)
-        return Result<CommandAnswer>(tl::unexpected(index.error()));
-    auto paf = kj::newPromiseAndFulfiller<Result<CommandAnswer>>();
-    pending_[*index] = { raft_->term(), kj::mv(paf.fulfiller) };
-    drain();
+    if (const auto *install = std::get_if<InstallRoutesCommand>(&command)) {
+        KJ_IF_MAYBE (joined, joinInstall(*install))
+            return kj::mv(*joined);
+    }
+    auto answer = propose(command);
     if (!std::holds_alternative<RecordCrashCommand>(command))
-        return kj::mv(paf.promise);
+        return answer;
     // Strikes are answered when every router knows them.
-    return paf.promise.then([this](Result<CommandAnswer> answer) {
+    return answer.then([this](Result<CommandAnswer> answer) {
         const auto wrap = [](CommandAnswer given) { return Result<CommandAnswer>(given); };
         if (!answer)
             return kj::Promise<Result<CommandAnswer>>(kj::mv(answer));
@@ -164,6 +163,43 @@
     });
 }
 
+kj::Promise<Result<CommandAnswer>> ControlTask::propose(const Command &command)
+{
+    auto index = raft_->propose(encodeCommand(command), BootClock::now());
+    if (!index)
+        return Result<CommandAnswer>(tl::unexpected(index.error()));
+    if (const auto *install = std::get_if<InstallRoutesCommand>(&command))
+        proposedInstalls_.add(*index, install->version);
+    auto answer = whenApplied(*index);
+    drain();
+    return answer;
+}
+
+kj::Maybe<kj::Promise<Result<CommandAnswer>>>
+ControlTask::joinInstall(const InstallRoutesCommand &install)
+{
+    if (state_.deployment().version() >= install.version)
+        return kj::Promise<Result<CommandAnswer>>(Result<CommandAnswer>(AppliedAnswer { false }));
+    if (const auto index = proposedInstalls_.covering(install.version))
+        return whenApplied(*index);
+    return nullptr;
+}
+
+kj::Promise<Result<CommandAnswer>> ControlTask::whenApplied(LogIndex index)
+{
+    auto paf = kj::newPromiseAndFulfiller<Result<CommandAnswer>>();
+    Pending &pending = pending_[index];
+    pending.term = raft_->term();
+    pending.fulfillers.push_back(kj::mv(paf.fulfiller));
+    return kj::mv(paf.promise);
+}
+
+void ControlTask::Pending::fulfill(const Result<CommandAnswer> &answer)
+{
+    for (auto &fulfiller : fulfillers)
+        fulfiller->fulfill(Result<CommandAnswer>(answer));
+}
+
 kj::Promise<CommandAnswer> ControlTask::whenInForce(CommandAnswer answer, Instant giveUpAt)
 {
     const Instant now = BootClock::now();
@@ -363,6 +399,7 @@
     if (failed_ || entry.index <= applied_)
         return;
     applied_ = entry.index;
+    proposedInstalls_.removeUpTo(applied_);
     bytesSinceSnapshot_ += entry.data.size();
     const auto waiting = pending_.find(entry.index);
     if (entry.kind == EntryKind::Command) {
@@ -390,11 +427,11 @@
             || state_.suspects().version() != suspects)
             pokeRouters();
         if (waiting != pending_.end() && waiting->second.term == entry.term)
-            waiting->second.fulfiller->fulfill(Result<CommandAnswer>(answer));
+            waiting->second.fulfill(answer);
         else if (waiting != pending_.end())
-            waiting->second.fulfiller->fulfill(Result<CommandAnswer>(notLeader()));
+            waiting->second.fulfill(notLeader());
     } else if (waiting != pending_.end()) {
-        waiting->second.fulfiller->fulfill(Result<CommandAnswer>(notLeader()));
+        waiting->second.fulfill(notLeader());
     }
     if (waiting != pending_.end())
         pending_.erase(waiting);
@@ -614,8 +651,9 @@
 void ControlTask::rejectPending()
 {
     for (auto &[index, pending] : pending_)
-        pending.fulfiller->fulfill(Result<CommandAnswer>(notLeader()));
+        pending.fulfill(notLeader());
     pending_.clear();
+    proposedInstalls_.clear();
 }
 
 nlohmann::json ControlTask::status() const
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -19,6 +19,7 @@
 #include "control/formation.h"
 #include "control/logstore.h"
 #include "control/membership.h"
+#include "control/proposedinstalls.h"
 #include "control/raft.h"
 #include "control/state.h"
 #include "fleet/coordinator.h"
@@ -123,10 +124,14 @@
     nlohmann::json status() const;
 
 private:
+    using Answered = kj::PromiseFulfiller<Result<CommandAnswer>>;
+    // Commands that wait for the entry at one index.
     struct Pending
     {
         Term term = 0;
-        kj::Own<kj::PromiseFulfiller<Result<CommandAnswer>>> fulfiller;
+        std::vector<kj::Own<Answered>> fulfillers;
+
+        void fulfill(const Result<CommandAnswer> &answer);
     };
 
     ControlTask(EventLoop &loop, Peers &peers, ControlSettings settings, Disk disk);
@@ -135,6 +140,10 @@
     void drain();
     bool handle(RaftOutput output);
     void applyEntry(const LogEntry &entry);
+    kj::Promise<Result<CommandAnswer>> propose(const Command &command);
+    // Waits for an entry that makes the install needless; nothing if there is none.
+    kj::Maybe<kj::Promise<Result<CommandAnswer>>> joinInstall(const InstallRoutesCommand &install);
+    kj::Promise<Result<CommandAnswer>> whenApplied(LogIndex index);
     kj::Promise<CommandAnswer> whenInForce(CommandAnswer answer, Instant giveUpAt);
     void pokeRouters();
     void sampleLoads();
@@ -176,6 +185,7 @@
     bool forming_ = false;
     Instant startedAt_ {};
     std::map<LogIndex, Pending> pending_;
+    ProposedInstalls proposedInstalls_;
     std::map<ReplicaId, std::string> addresses_;
     std::map<ReplicaId, int> unanswered_; // messages in flight
     JoinRequests joining_;
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -205,7 +205,21 @@
 
 void ReplicaFront::noteDeployment()
 {
-    documents_.add(control_.deployment().version(), control_.deployment().document());
+    const uint64_t version = control_.deployment().version();
+    documents_.add(version, control_.deployment().document());
+    const auto end = installsAwaited_.upper_bound(version);
+    for (auto item = installsAwaited_.begin(); item != end; ++item)
+        item->second->fulfill(AppliedAnswer { false });
+    installsAwaited_.erase(installsAwaited_.begin(), end);
+}
+
+kj::Promise<Result<AppliedAnswer>> ReplicaFront::whenInstalled(uint64_t version)
+{
+    for (auto item = installsAwaited_.begin(); item != installsAwaited_.end();)
+        item = item->second->isWaiting() ? std::next(item) : installsAwaited_.erase(item);
+    auto installed = kj::newPromiseAndFulfiller<Result<AppliedAnswer>>();
+    installsAwaited_.emplace(version, kj::mv(installed.fulfiller));
+    return kj::mv(installed.promise);
 }
 
 void ReplicaFront::giveRoutes(uint64_t known, const DocumentDistributor::Requester &asker,
@@ -971,8 +985,16 @@
 void ReplicaFront::perform(ExchangeId exchange, const InstallRoutesOrder &order,
                            const HttpRequest &request)
 {
-    answerCommit(exchange, fmt::format("routes {}", order.version),
-                 commit(InstallRoutesCommand { order.version, compress(request.body) }));
+    const std::string what = fmt::format("routes {}", order.version);
+    // What is committed stays so: no leader is needed to acknowledge it again.
+    if (control_.deployment().version() >= order.version) {
+        answerCommit(exchange, what, Result<AppliedAnswer>(AppliedAnswer { false }));
+        return;
+    }
+    auto installed = whenInstalled(order.version);
+    answerCommit(exchange, what,
+                 commit(InstallRoutesCommand { order.version, compress(request.body) })
+                         .exclusiveJoin(kj::mv(installed)));
 }
 
 void ReplicaFront::perform(ExchangeId exchange, const ReadRoutesOrder &, const HttpRequest &)
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -131,6 +131,9 @@
     void liftCommitted(Fingerprint fingerprint);
     void commitCrashes(Fingerprint fingerprint, std::span<const std::string> crashes);
     void noteDeployment();
+    // Fulfilled once a route document of this or a higher version is committed, as this replica
+    // knows.
+    kj::Promise<Result<AppliedAnswer>> whenInstalled(uint64_t version);
     void recallFleet();
     void rememberFleet(Instant now);
     void shareRoster();
@@ -173,6 +176,8 @@
     bool memoFails_ = false;
     PlacementLog placements_;
     DocumentHistory documents_;
+    std::multimap<uint64_t, kj::Own<kj::PromiseFulfiller<Result<AppliedAnswer>>>>
+            installsAwaited_; // by version
     DocumentDistributor spread_;
     EndpointRateLimits limits_;
     CrashSuspects crashSuspects_;
--- a/node/testing/replicafront_test.cc
+++ b/node/testing/replicafront_test.cc
@@ -192,5 +192,39 @@
     CHECK(reports.lastWatchedTold == 0);
 }
 
+// Guards against retries that each take the links and the log once more.
+TEST_CASE("an order for a document that is installed, or older, is acknowledged without an entry")
+{
+    FakeDisk disk;
+    EventLoop loop;
+    Peers peers(loop, "key");
+    ControlSettings settings;
+    settings.name = "replica";
+    settings.address = "127.0.0.1:1";
+    settings.peers = { settings.address };
+    settings.selfManaged = true;
+    settings.firstStart = true;
+    auto control = std::move(*ControlTask::open(loop, peers, settings, disk.disk()));
+    peers.setSelf(settings.address, kj::heap<ControlServer>(control.get()));
+    control->start();
+    while (!control->maySpeak())
+        loop.run(loop.sleep(milliseconds(20)));
+    const auto install = [&](uint64_t version) {
+        bool acknowledged = false;
+        loop.run(control->command(InstallRoutesCommand { version, "document" })
+                         .then([&](Result<CommandAnswer> answer) {
+                             acknowledged = answer.has_value();
+                         }));
+        return acknowledged;
+    };
+    CHECK(install(5));
+    const LogIndex logged = control->logPosition().commit;
+    CHECK(install(5));
+    CHECK(install(4));
+    CHECK(control->logPosition().commit == logged);
+    CHECK(install(6));
+    CHECK(control->logPosition().commit == logged + 1);
+}
+
 } // namespace
 } // namespace bamboogap
