Changes of the watched requests are applied only to the set that they are of

Found by reading: a router that leaves its source and comes back while a report is under way dropped the watched requests and then applied changes to them, and would miss the others until they change. The same after a restart of a replica whose predecessor told whole lists. Change: after a drop only a whole set is taken. No run has shown it; no test of its own (the router's task has none without processes).

--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -453,11 +453,18 @@
     }
     if (reply.hasQuarantined()) {
         const FingerprintChange change = read(reply.getQuarantined());
+        if (change.full) { // another process of the replica
+            suspects_.dropWatched(address);
+            link.watchedVersion = 0;
+        }
         suspects_.applyQuarantined(address, change);
         link.quarantinedVersion = change.version;
     }
     if (reply.hasWatched() && address == sourceOfOthers_) {
         const FingerprintChange change = read(reply.getWatched());
+        // What the changes are of may have been dropped since they were asked for.
+        if (!change.full && link.watchedVersion == 0)
+            return;
         suspects_.applyWatched(address, change);
         link.watchedVersion = change.version;
     }
