--- a/node/convert.h
+++ b/node/convert.h
@@ -38,6 +38,12 @@
     return { reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size() };
 }
 
+// Size of a message that is being built, or of a part of one.
+template<typename Builder> size_t sizeInBytes(const Builder &message)
+{
+    return message.asReader().totalSize().wordCount * sizeof(capnp::word);
+}
+
 std::string toCbor(const nlohmann::json &value);
 // PeerFailed if the bytes are no CBOR.
 Result<nlohmann::json> fromCbor(std::string_view bytes);
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -76,6 +76,10 @@
     TrafficMeter &traffic() { return traffic_; }
 
 private:
+    // Endpoint records told in one message, so that a full roster does not hold up the
+    // acknowledgements of heartbeats.
+    static constexpr size_t kRecordsTold = 64;
+
     void perform(ExchangeId exchange, const HeartbeatOrder &order, const HttpRequest &request);
     void perform(ExchangeId exchange, const LeaveOrder &order, const HttpRequest &request);
     void perform(ExchangeId exchange, const InstallRoutesOrder &order, const HttpRequest &request);
