Loads that are larger than the budget's burst are told, too

Change: they go if anything is left; what they take beyond it is paid back before more is told. Test: replicafront_test "loads are told also if ...", red before.

--- a/node/replicareports.cc
+++ b/node/replicareports.cc
@@ -228,9 +228,9 @@
 void ReplicaFront::writeLoads(const std::string &router, wire::SyncReply::Builder reply,
                               Instant now)
 {
-    const size_t expected = roster_.size() * kUseBytes;
-    if (replies_.available(ReplyBudget::Priority::Normal, now) < expected
-        || !routers_.maySendUses(router, expected, now))
+    // The loads go as a whole, and may take more than the budget ever has at once.
+    if (replies_.available(ReplyBudget::Priority::Normal, now) == 0
+        || !routers_.maySendUses(router, roster_.size() * kUseBytes, now))
         return;
     reply.setHasUses(true);
     const std::string uses = packUses(work_.othersOf(router, routers_.aliveCount(now)));
--- a/node/testing/replicafront_test.cc
+++ b/node/testing/replicafront_test.cc
@@ -7,6 +7,7 @@
 
 #include "control/testing/fakedisk.h"
 #include "node/replicafront.h"
+#include "node/rosterwire.h"
 
 namespace bamboogap {
 namespace {
@@ -67,6 +68,7 @@
             known.watchedVersion = reply.getWatched().getVersion();
         lastSuspectsTold = reply.getSuspects().size();
         lastWatchedTold = reply.getWatched().getAdded().size();
+        lastHadLoads = reply.getHasUses();
         return answered.sizeInWords() * sizeof(capnp::word);
     }
 
@@ -75,6 +77,15 @@
     bool takesChanges = true; // false: a router of an earlier version
     size_t lastSuspectsTold = 0; // in the list for earlier versions
     size_t lastWatchedTold = 0;
+    bool lastHadLoads = false;
+
+    void addEndpoints(int count)
+    {
+        std::vector<EndpointRecord> records(static_cast<size_t>(count));
+        for (size_t i = 0; i < records.size(); ++i)
+            records[i].id = "endpoint-" + std::to_string(i);
+        front_.noteDeparture(records[0].id, packRecords(records), 0).detach([](auto &&) {});
+    }
 
 private:
     static constexpr const char *kAddress = "127.0.0.1:1";
@@ -179,6 +190,18 @@
     CHECK(reports.lastSuspectsTold == 0);
 }
 
+// Guards against content that never finds room: the loads of 3,000 endpoints are 24 kB.
+TEST_CASE("loads are told also if they are larger than what the budget has at once")
+{
+    Reports reports;
+    reports.addEndpoints(3000);
+    for (int i = 0; i < 50 && !reports.lastHadLoads; ++i) {
+        reports.report(1, {}, true);
+        reports.wait(milliseconds(20));
+    }
+    CHECK(reports.lastHadLoads);
+}
+
 TEST_CASE("a router of an earlier version is told the whole list of suspects")
 {
     Reports reports;
