--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -36,11 +36,6 @@
 // after a restart.
 constexpr Duration kShareRoster = std::chrono::seconds(1);
 
-// Share of the link for route documents that operators read, and what is handed to it at a time:
-// about 20 ms of a 6 Mbit/s link.
-constexpr double kReadsLinkShare = 0.4;
-constexpr size_t kReadBlockBytes = 16 << 10;
-
 uint64_t randomEpoch()
 {
     std::random_device device;
@@ -159,7 +154,6 @@
     , quarantined_(randomEpoch())
     , watched_(randomEpoch())
     , replies_(settings_.linkBytesPerSecond)
-    , reads_(kReadsLinkShare * settings_.linkBytesPerSecond)
 {
 }
 
@@ -631,7 +625,7 @@
             return;
         }
         traffic_.sent(Traffic::Read, read->text.size());
-        replyDocument(exchange, std::move(read->text));
+        reply(exchange, 200, std::move(read->text));
     }),
                  "read routes");
 }
@@ -767,38 +761,6 @@
     server_->reply(exchange, message);
 }
 
-// evhttp sends no chunks after a Content-Length.
-void ReplicaFront::replyDocument(ExchangeId exchange, std::string text)
-{
-    if (text.size() <= kReadBlockBytes) {
-        reply(exchange, 200, std::move(text));
-        return;
-    }
-    server_->startStream(exchange, 200, "application/json",
-                         { { "Content-Length", fmt::to_string(text.size()) } });
-    const auto shared = std::make_shared<const std::string>(std::move(text));
-    loop_.detach(sendBlocks(exchange, shared, 0).catch_([](kj::Exception &&problem) {
-        logEvent(LogLevel::Info, "routes_read_ended",
-                 { { "problem", std::string(problem.getDescription().cStr()) } });
-    }),
-                 "send a route document");
-}
-
-kj::Promise<void> ReplicaFront::sendBlocks(ExchangeId exchange,
-                                           std::shared_ptr<const std::string> text, size_t sent)
-{
-    if (sent == text->size()) {
-        server_->endStream(exchange);
-        return kj::READY_NOW;
-    }
-    const size_t size = std::min(kReadBlockBytes, text->size() - sent);
-    return loop_.sleep(reads_.reserve(size, BootClock::now()))
-            .then([=, this]() {
-                return server_->chunk(exchange, std::string_view(*text).substr(sent, size));
-            })
-            .then([=, this]() { return sendBlocks(exchange, text, sent + size); });
-}
-
 void ReplicaFront::replyError(ExchangeId exchange, const Error &error)
 {
     const int status = error.kind == ErrorKind::InvalidRequest ? 400
--- a/node/replicafront.h
+++ b/node/replicafront.h
@@ -14,7 +14,6 @@
 #include "control/suspects.h"
 #include "fleet/documentdistributor.h"
 #include "fleet/endpointratelimits.h"
-#include "fleet/linkpacer.h"
 #include "fleet/placementlog.h"
 #include "fleet/replybudget.h"
 #include "fleet/roster.h"
@@ -103,10 +102,6 @@
     void answerCommit(ExchangeId exchange, std::string what,
                       kj::Promise<Result<AppliedAnswer>> committing);
     void reply(ExchangeId exchange, int status, std::string body);
-    // Sends a route document in blocks.
-    void replyDocument(ExchangeId exchange, std::string text);
-    kj::Promise<void> sendBlocks(ExchangeId exchange, std::shared_ptr<const std::string> text,
-                                 size_t sent);
     void replyError(ExchangeId exchange, const Error &error);
     // Acknowledges a departure once a majority of the replicas has it on disk.
     void answerDeparture(ExchangeId exchange, const Departure &departure);
@@ -201,7 +196,6 @@
     // and answers to these to be reported; told to the routers that have their news from here.
     FingerprintChanges watched_;
     ReplyBudget replies_;
-    LinkPacer reads_;
 };
 
 } // namespace bamboogap
