--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,108 +1,100 @@
-"""GONE: clients leave before their answers; some of them with a reset of their connection."""
+"""CONFIG: machines of the core are replaced for good, one after the other."""
 
 import asyncio
+import json
 import os
-import socket
-import struct
 import sys
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from platform2 import configuration, main, route  # noqa: E402
+from platform2 import Node, configuration, http, main, route  # noqa: E402
 
-CLIENTS = 40  # in each group
-WORK_S = 4.0
-HALF = 0.5
-
-
-class Work:
-    """What a runner did for one request: it drops the request when its connection closes."""
-
-    def __init__(self):
-        self.began = time.monotonic()
-        self.ended = None
-        self.how = "at work"
+EMPTY_ONE_AFTER_S = 1.0  # x of replace_core
+GAP_S = 5.5  # the successor starts 1 s after the removal, and has had catchUpS (4 s) by then
+READ_S = 12.0  # over contactMs
 
 
 async def case(make, record, trouble):
-    fleet = make(cores=3, edges=2)
-    works = {}  # by attempt: a list of Work
+    fleet = make(cores=5, edges=2)
+    routes = [route("history-read", "/read/", "idempotent", "orders", maxAttempts=2)]
+    await fleet.start(configuration(3, routes),
+                      [(f"orders-{i}", "orders", 64) for i in range(3)])
 
-    async def serve(runner, reader, writer, headers, path, body):
-        attempt = headers["x-attempt-id"]
-        work = Work()
-        works.setdefault(attempt, []).append(work)
-        record.note(f"{runner.name} begins {attempt} {path}")
-        left = asyncio.create_task(reader.read(1))
-        work_s = 0.05 if path.startswith("/read/short") else WORK_S
-        done, _ = await asyncio.wait({left}, timeout=work_s)
-        work.ended = time.monotonic()
-        if done:
-            work.how = "dropped"
-            record.note(f"{runner.name} drops {attempt}: its connection closed")
-            raise ConnectionResetError
-        left.cancel()
+    async def status(core):
+        """The project's own status; used to find the leader, not to judge."""
         try:
-            await left
-        except asyncio.CancelledError:
-            pass
-        work.how = "finished"
-        record.note(f"{runner.name} finishes {attempt}")
-        runner.answer(writer, headers, 200, b"whole")
-        await writer.drain()
-        return True
+            _, _, body = await http((core.ip, 9464), "GET", "/v1/operators/node")
+            return json.loads(body)["replica"]
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return None
 
-    routes = [route("history-read", "/read/", "idempotent", "orders", maxAttempts=2,
-                    latencyGoalMs=1500)]
-    await fleet.start(configuration(3, routes),
-                      [(f"orders-{i}", "orders", 64) for i in range(3)])
-    for runner in fleet.runners:
-        runner.serve = serve
+    async def leader():
+        for _ in range(50):
+            for core in fleet.cores:
+                found = await status(core)
+                if found and any(item["leads"] and item["name"] == core.name
+                                 for item in found["replicas"]):
+                    return core, found
+            await asyncio.sleep(0.1)
+        raise RuntimeError("no leader")
 
-    async def client(number, group, how):
-        """Sends a request; leaves 0.2 to 0.4 s later, or waits for the answer."""
-        edge = fleet.edges[number % len(fleet.edges)]
-        attempt = fleet.next_id()
-        reader, writer = await asyncio.open_connection(edge.ip, fleet.ports["frontend"])
-        writer.write(fleet.request_bytes(attempt, f"/read/{number}"))
-        record.note(f"{group}: client {number} sends {attempt} to {edge.name}")
-        if how == "stay":
-            first = await reader.readline()
-            record.note(f"{group}: client {number} gets {first!r}")
-            writer.close()
-            return attempt, None
-        await asyncio.sleep(0.2 + 0.2 * number / CLIENTS)
-        if how == "reset":
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                                       struct.pack("ii", 1, 0))
-        writer.transport.abort() if how == "reset" else writer.close()
-        record.note(f"{group}: client {number} leaves {attempt} ({how})")
-        return attempt, time.monotonic()
+    for _ in range(100):
+        _, found = await leader()
+        if sum(item["voter"] for item in found["replicas"]) == 5 and found["replicas_settled"]:
+            break
+        await asyncio.sleep(0.1)
+    else:
+        raise RuntimeError("the core has not formed")
+    successors = 0
 
-    async def group(name, how):
-        cpu = [edge.cpu_seconds() for edge in fleet.edges]
-        began = time.monotonic()
-        left = await asyncio.gather(*(client(i, name, how) for i in range(CLIENTS)))
-        await asyncio.sleep(WORK_S + 2)
-        used = sum(edge.cpu_seconds() for edge in fleet.edges) - sum(cpu)
-        at_work = late = 0
-        for attempt, gone in left:
-            if gone is None:
-                continue
-            runs = works.get(attempt, [])
-            # Each of them would have lasted for longer than half a second after the close.
-            at_work += any(run.began < gone + HALF < run.ended for run in runs)
-            late += sum(run.began > gone + HALF for run in runs)
-        record.say(f"{name}: {len(left)} requests, runners still at work half a second after the "
-                   f"client had left: {at_work}, requests that reached a runner over half a "
-                   f"second after it: {late}; processor time of the edges {used:.1f} s in "
-                   f"{time.monotonic() - began:.1f} s")
-        return at_work <= len(left) / 4 and late <= 3
+    async def replace(core):
+        nonlocal successors
+        successors += 1
+        record.note(f"{core.name} is removed for good")
+        core.kill()
+        fleet.cores.remove(core)
+        fleet.removed.append(core)
+        node = Node(fleet, f"core-new-{successors}", f"{fleet.net}.{30 + successors}", core.zone,
+                    True)
+        await asyncio.sleep(EMPTY_ONE_AFTER_S)
+        node.start()
+        fleet.cores.append(node)
+        record.note(f"{node.name} starts, empty, at {node.ip}")
 
-    if not trouble:
-        return await group("clients stay", "stay")
-    held = await group("clients close (FIN)", "close")
-    return await group("clients close with a reset", "reset") and held
+    if trouble:
+        for number in range(3):
+            began = time.monotonic()
+            leads, found = await leader()
+            record.note("members before: " + ", ".join(
+                f"{item['name']}{' (leads)' if item['leads'] else ''}"
+                f"{'' if item['voter'] else ' (no vote)'}" for item in found["replicas"]))
+            # The second one leads; the first and the third are others that have been there from
+            # the start.
+            others = [core for core in fleet.cores
+                      if core is not leads and not core.name.startswith("core-new")]
+            await replace(leads if number == 1 else others[-1])
+            await asyncio.sleep(GAP_S - (time.monotonic() - began))
+    await asyncio.sleep(15)
+    for core in fleet.cores:
+        found = await status(core)
+        record.note(f"members at {core.name}: " + ", ".join(
+            f"{item['name']}{'' if item['voter'] else ' (no vote)'}"
+            for item in found["replicas"]) if found else f"{core.name} has no status")
+    acked = "no acknowledgement"
+    try:
+        acked = (await fleet.order("PUT", "/v1/configuration", configuration(5, routes),
+                                   READ_S))[0]
+    except RuntimeError as problem:
+        record.note(str(problem))
+    read = "no configuration"
+    try:
+        code, _, body, _ = await fleet.order("GET", "/v1/configuration", limit=READ_S)
+        read = f"{code}, version {json.loads(body)['version']}"
+    except RuntimeError as problem:
+        record.note(str(problem))
+    record.say(f"order of version 5: {acked}; read back: {read}; {len(fleet.cores)} machines of the "
+               f"core run: {[core.name for core in fleet.cores if core.alive()]}")
+    return read != "no configuration"
 
 
 main(os.path.dirname(os.path.abspath(__file__)), case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,56 +1,108 @@
-"""ROUTE: the last tenant is taken out of the configuration; requests with keys that no configuration
-ever held follow."""
+"""GONE: clients leave before their answers; some of them with a reset of their connection."""
 
 import asyncio
 import os
+import socket
+import struct
 import sys
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from platform2 import KEY, configuration, main, route  # noqa: E402
+from platform2 import configuration, main, route  # noqa: E402
 
-NEVER_HELD = "zzzzzzzzzzzzzzzzzzzz"
-EACH = 10
+CLIENTS = 40  # in each group
+WORK_S = 4.0
+HALF = 0.5
+
+
+class Work:
+    """What a runner did for one request: it drops the request when its connection closes."""
+
+    def __init__(self):
+        self.began = time.monotonic()
+        self.ended = None
+        self.how = "at work"
 
 
 async def case(make, record, trouble):
     fleet = make(cores=3, edges=2)
-    routes = [route("repair-order", "/order/", "non_idempotent", "orders")]
+    works = {}  # by attempt: a list of Work
+
+    async def serve(runner, reader, writer, headers, path, body):
+        attempt = headers["x-attempt-id"]
+        work = Work()
+        works.setdefault(attempt, []).append(work)
+        record.note(f"{runner.name} begins {attempt} {path}")
+        left = asyncio.create_task(reader.read(1))
+        work_s = 0.05 if path.startswith("/read/short") else WORK_S
+        done, _ = await asyncio.wait({left}, timeout=work_s)
+        work.ended = time.monotonic()
+        if done:
+            work.how = "dropped"
+            record.note(f"{runner.name} drops {attempt}: its connection closed")
+            raise ConnectionResetError
+        left.cancel()
+        try:
+            await left
+        except asyncio.CancelledError:
+            pass
+        work.how = "finished"
+        record.note(f"{runner.name} finishes {attempt}")
+        runner.answer(writer, headers, 200, b"whole")
+        await writer.drain()
+        return True
+
+    routes = [route("history-read", "/read/", "idempotent", "orders", maxAttempts=2,
+                    latencyGoalMs=1500)]
     await fleet.start(configuration(3, routes),
                       [(f"orders-{i}", "orders", 64) for i in range(3)])
+    for runner in fleet.runners:
+        runner.serve = serve
+
+    async def client(number, group, how):
+        """Sends a request; leaves 0.2 to 0.4 s later, or waits for the answer."""
+        edge = fleet.edges[number % len(fleet.edges)]
+        attempt = fleet.next_id()
+        reader, writer = await asyncio.open_connection(edge.ip, fleet.ports["frontend"])
+        writer.write(fleet.request_bytes(attempt, f"/read/{number}"))
+        record.note(f"{group}: client {number} sends {attempt} to {edge.name}")
+        if how == "stay":
+            first = await reader.readline()
+            record.note(f"{group}: client {number} gets {first!r}")
+            writer.close()
+            return attempt, None
+        await asyncio.sleep(0.2 + 0.2 * number / CLIENTS)
+        if how == "reset":
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                                       struct.pack("ii", 1, 0))
+        writer.transport.abort() if how == "reset" else writer.close()
+        record.note(f"{group}: client {number} leaves {attempt} ({how})")
+        return attempt, time.monotonic()
+
+    async def group(name, how):
+        cpu = [edge.cpu_seconds() for edge in fleet.edges]
+        began = time.monotonic()
+        left = await asyncio.gather(*(client(i, name, how) for i in range(CLIENTS)))
+        await asyncio.sleep(WORK_S + 2)
+        used = sum(edge.cpu_seconds() for edge in fleet.edges) - sum(cpu)
+        at_work = late = 0
+        for attempt, gone in left:
+            if gone is None:
+                continue
+            runs = works.get(attempt, [])
+            # Each of them would have lasted for longer than half a second after the close.
+            at_work += any(run.began < gone + HALF < run.ended for run in runs)
+            late += sum(run.began > gone + HALF for run in runs)
+        record.say(f"{name}: {len(left)} requests, runners still at work half a second after the "
+                   f"client had left: {at_work}, requests that reached a runner over half a "
+                   f"second after it: {late}; processor time of the edges {used:.1f} s in "
+                   f"{time.monotonic() - began:.1f} s")
+        return at_work <= len(left) / 4 and late <= 3
 
-    async def ask(what, key):
-        """Orders with the key; returns how many of them ran."""
-        ends = {}
-        attempts = set()
-        for number in range(EACH):
-            edge = fleet.edges[number % len(fleet.edges)]
-            attempt, status, _, _ = await fleet.request(
-                edge, "/order/1", b"{}", "POST", more={"Authorization": "Token " + key})
-            attempts.add(attempt)
-            ends[status] = ends.get(status, 0) + 1
-            record.note(f"{what}: {attempt} at {edge.name}: {status}")
-        ran = [(attempt, headers.get("x-tenant")) for runner in fleet.runners
-               for _, attempt, headers in runner.arrived if attempt in attempts]
-        for attempt, tenant in ran:
-            record.note(f"{what}: {attempt} has run, X-Tenant: {tenant}")
-        record.say(f"{what}: answers {ends}, {len(ran)} of {EACH} ran")
-        return len(ran)
-
-    before = await ask("before the change, key of the tenant", KEY)
-    unknown_before = await ask("before the change, key that was never held", NEVER_HELD)
-    if before != EACH or unknown_before != 0:
-        raise RuntimeError("the first configuration is not in force")
-    after = configuration(5, routes, tenants=[]) if trouble else configuration(5, routes)
-    status, _, _, core = await fleet.order("PUT", "/v1/configuration", after)
-    acked = time.monotonic()
-    record.note(f"configuration 5 with tenants {after['tenants']}: {status} from {core.name}")
-    await asyncio.sleep(6)  # over configApplyMs, contactMs and revokeMs
-    status, _, body, _ = await fleet.order("GET", "/v1/configuration")
-    record.note(f"read {time.monotonic() - acked:.1f} s later: {status} {body.decode()}")
-    await ask("after the change, key that was taken away" if trouble
-              else "after the change, key of the tenant", KEY)
-    return await ask("after the change, key that was never held", NEVER_HELD) == 0
+    if not trouble:
+        return await group("clients stay", "stay")
+    held = await group("clients close (FIN)", "close")
+    return await group("clients close with a reset", "reset") and held
 
 
 main(os.path.dirname(os.path.abspath(__file__)), case)
