Review: replacing core machines one by one ends the control group (CONFIG)

Cause: a voter that is gone gives way only after 6 s under one leader, and no successor votes before; machines may be replaced faster, and a new leader waits anew.

--- a/review/platform2.py
+++ b/review/platform2.py
@@ -217,12 +217,13 @@
         self.work_s = 0.03
         self.serve = None
         self.arrived = []  # (monotonic time, X-Attempt-Id, headers)
+        self.first_beat_after = 0.0  # its start
         self.cut_until = 0.0  # until then calls to core machines get no answer
         self.server = None
         self.address = None
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.on_connection, self.fleet.runner_ip, 0,
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.on_connection, self.fleet.runner_ip, port,
                                                  backlog=512)
         self.address = self.server.sockets[0].getsockname()
         self.task = asyncio.create_task(self.beat_loop())
@@ -239,6 +240,7 @@
                 "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.sequence}
 
     async def beat_loop(self):
+        await asyncio.sleep(self.first_beat_after)
         while True:
             body = self.heartbeat()
             for core in random.sample(self.fleet.cores, len(self.fleet.cores)):
@@ -290,7 +292,8 @@
 class Fleet:
     def __init__(self, cores=5, edges=2):
         self.folder = tempfile.mkdtemp(prefix="bamboogap-review-")
-        net = f"127.{random.randint(32, 223)}.{random.randint(1, 254)}"
+        net = self.net = f"127.{random.randint(32, 223)}.{random.randint(1, 254)}"
+        self.removed = []  # machines that are gone for good
         self.runner_ip = f"{net}.250"
         zones = ["jm-a", "jm-b", "jm-c"]
         self.ports = {name: free_port(f"{net}.1") for name in ("frontend", "ready", "control",
@@ -375,7 +378,7 @@
     async def stop(self):
         for runner in self.runners:
             await runner.stop()
-        for node in self.cores + self.edges:
+        for node in self.cores + self.edges + self.removed:
             node.kill()
         if os.environ.get("KEEP_LOGS"):
             print("logs:", self.folder)
