--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,13 +11,14 @@
 QUIET_S = 15.0
 CUT_S = 5.0  # the default of srv_cut
 PER_SECOND = 60
+RUNNERS = 5  # one of them is a share of 0.2
 
 
 async def case(make, record, trouble):
     fleet = make(cores=3, edges=2)
     routes = [route("history-read", "/read/", "idempotent", "orders", maxAttempts=2)]
     await fleet.start(configuration(3, routes),
-                      [(f"orders-{i}", "orders", 6) for i in range(3)])
+                      [(f"orders-{i}", "orders", 6) for i in range(RUNNERS)])
     for runner in fleet.runners:
         runner.work_s = 0.1  # so that each of them gets work from each edge
     busy = fleet.runners[0]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,7 +10,8 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 from platform2 import configuration, main, route  # noqa: E402
 
-CLIENTS = 40  # in each group
+CLIENTS = 40  # in each group; a share of 0.2 of all clients
+OTHERS = 160  # that stay, beside each group
 WORK_S = 4.0
 HALF = 0.5
 
@@ -79,11 +80,25 @@
         record.note(f"{group}: client {number} leaves {attempt} ({how})")
         return attempt, time.monotonic()
 
+    async def other(number, group):
+        """A client that stays for a short answer."""
+        await asyncio.sleep(2 * number / OTHERS)
+        try:
+            attempt, status, _, _ = await fleet.request(fleet.edges[number % len(fleet.edges)],
+                                                        f"/read/short{number}")
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as problem:
+            record.note(f"{group}: another client: {problem!r}")
+            return 0
+        record.note(f"{group}: another client's {attempt}: {status}")
+        return status == 200
+
     async def group(name, how):
         cpu = [edge.cpu_seconds() for edge in fleet.edges]
         began = time.monotonic()
+        others = [asyncio.create_task(other(i, name)) for i in range(OTHERS)]
         left = await asyncio.gather(*(client(i, name, how) for i in range(CLIENTS)))
         await asyncio.sleep(WORK_S + 2)
+        served = sum(await asyncio.gather(*others))
         used = sum(edge.cpu_seconds() for edge in fleet.edges) - sum(cpu)
         at_work = late = 0
         for attempt, gone in left:
@@ -95,7 +110,8 @@
             late += sum(run.began > gone + HALF for run in runs)
         record.say(f"{name}: {len(left)} requests, runners still at work half a second after the "
                    f"client had left: {at_work}, requests that reached a runner over half a "
-                   f"second after it: {late}; processor time of the edges {used:.1f} s in "
+                   f"second after it: {late}; {served} of {OTHERS} others served; processor time of "
+                   f"the edges {used:.1f} s in "
                    f"{time.monotonic() - began:.1f} s")
         return at_work <= len(left) / 4 and late <= 3
 
