--- a/review/platform2.py
+++ b/review/platform2.py
@@ -423,9 +423,13 @@
             for fleet in fleets:
                 await fleet.stop()
 
+    def on_terminate(*_):
+        raise KeyboardInterrupt  # asyncio ends the case, and the fleet with it
+
+    signal.signal(signal.SIGTERM, on_terminate)
     try:
         held = asyncio.run(run())
-    except Exception as problem:  # the case could not run
+    except (Exception, KeyboardInterrupt) as problem:  # the case could not run
         record.say(f"could not run: {problem!r}")
         sys.exit(2)
     record.say("the rule held" if held else "THE RULE WAS BROKEN")
