Control: the leader's membership decisions in one class without I/O

Cause: the decisions of ControlTask on pending requests, lost voters and the commit index that a learner must reach were spread over the task, so the simulated group of control/testing/cluster.h played only a part of them (nextMembership without a bound on voters, with every request known at once). Change: MembershipManager (control/membership) keeps the requests and returns the change that is due; ControlTask and the simulated cluster call it at the same intervals. Same decisions; lost_voter_removed names the voter and its measured silence in place of the setting.

--- a/control/membership.cc
+++ b/control/membership.cc
@@ -3,6 +3,7 @@
 #include "control/membership.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -114,6 +115,40 @@
     return std::nullopt;
 }
 
+void MembershipManager::addRequest(const JoinRequest &replica, Instant now)
+{
+    requests_.addOrRefresh(replica, now);
+}
+
+std::optional<MembershipChange> MembershipManager::nextChange(const Raft &raft, Instant now)
+{
+    if (term_ != raft.term()) {
+        term_ = raft.term();
+        leadsSince_ = now;
+        committedBefore_ = raft.commitIndex();
+    }
+    requests_.expire(now);
+    const LogIndex committed = std::exchange(committedBefore_, raft.commitIndex());
+    const auto match = [&raft](ReplicaId id) { return raft.matchIndex(id); };
+    if (auto next = nextMembership(raft.membership(), requests_.current(), match, committed,
+                                   policy_.maxVoters))
+        return MembershipChange { std::move(*next), std::nullopt };
+    if (!policy_.replacesLostVoters || now - leadsSince_ < policy_.lostAfter)
+        return std::nullopt;
+    const auto isLost = [&](ReplicaId id) {
+        return id != raft.id() && now - raft.lastContact(id) > policy_.lostAfter;
+    };
+    auto next = withoutLostVoter(raft.membership(), policy_.maxVoters, isLost, match, committed);
+    if (!next)
+        return std::nullopt;
+    MembershipChange change { std::move(*next), std::nullopt };
+    for (const Replica &member : raft.membership().members) {
+        if (!change.membership.find(member.id))
+            change.lost = member;
+    }
+    return change;
+}
+
 Result<Membership> membershipWithout(const Membership &current, std::string_view name,
                                      ReplicaId leader)
 {
--- a/control/membership.h
+++ b/control/membership.h
@@ -69,6 +69,48 @@
                                            const std::function<LogIndex(ReplicaId)> &matchIndex,
                                            LogIndex committed);
 
+// How a leader maintains the membership of its group.
+struct MembershipPolicy
+{
+    // A joining replica becomes a voter only while there are fewer voters than this.
+    size_t maxVoters = std::numeric_limits<size_t>::max();
+    // Lost voters are replaced without an operator.
+    bool replacesLostVoters = false;
+    // Silence after which a voter counts as lost.
+    Duration lostAfter = std::chrono::seconds(6);
+};
+
+// A membership to propose.
+struct MembershipChange
+{
+    Membership membership;
+    std::optional<Replica> lost; // the member that is removed because it is lost
+};
+
+// Decides on the leader which membership change comes next. It is called at regular intervals and
+// keeps the pending join requests.
+class MembershipManager
+{
+public:
+    explicit MembershipManager(MembershipPolicy policy = {})
+        : policy_(policy)
+    {
+    }
+
+    void addRequest(const JoinRequest &replica, Instant now);
+    void removeRequests(std::string_view name) { requests_.removeByName(name); }
+
+    // Returns the change that is due, or nullopt. `raft` must hold the leader lease.
+    std::optional<MembershipChange> nextChange(const Raft &raft, Instant now);
+
+private:
+    MembershipPolicy policy_;
+    JoinRequests requests_;
+    Term term_ = 0; // of the last call
+    Instant leadsSince_ {}; // of the first call in term_
+    LogIndex committedBefore_ = 0; // the commit index at the last call
+};
+
 // Returns the membership without the named replica. NotFound if there is no such replica;
 // Conflict if it is the last voter or the leader.
 Result<Membership> membershipWithout(const Membership &current, std::string_view name,
--- a/control/testing/cluster.h
+++ b/control/testing/cluster.h
@@ -33,6 +33,7 @@
         std::unique_ptr<Raft> raft;
         ControlState state;
         LogIndex applied = 0;
+        MembershipManager membershipManager;
         double clockRate = 1.0; // relative to simulated time
         bool frozen = false;
         std::vector<RaftMessage> queuedWhileFrozen;
@@ -54,15 +55,22 @@
     Cluster(size_t size, uint64_t seed)
         : random_(seed)
     {
-        for (size_t i = 0; i < size; ++i) {
-            auto node = std::make_unique<Node>();
-            node->name = "replica-" + std::to_string(i);
-            std::uniform_real_distribution<double> drift(1.0 - timing.maxDrift / 2,
-                                                         1.0 + timing.maxDrift / 2);
-            node->clockRate = drift(random_);
-            nodes.push_back(std::move(node));
-            start(i);
-        }
+        for (size_t i = 0; i < size; ++i)
+            addNode();
+    }
+
+    // Starts a replica with an empty disk and returns its index.
+    size_t addNode()
+    {
+        const size_t i = nodes.size();
+        auto node = std::make_unique<Node>();
+        node->name = "replica-" + std::to_string(i);
+        std::uniform_real_distribution<double> drift(1.0 - timing.maxDrift / 2,
+                                                     1.0 + timing.maxDrift / 2);
+        node->clockRate = drift(random_);
+        nodes.push_back(std::move(node));
+        start(i);
+        return i;
     }
 
     void bootstrap(size_t i, const Founding &founding)
@@ -108,6 +116,7 @@
         node.state = *ControlState::load(opened->stored.snapshot.data, {});
         node.applied = opened->stored.snapshot.index;
         node.answers.clear();
+        node.membershipManager = MembershipManager(membershipPolicy);
         node.frozen = false;
         node.queuedWhileFrozen.clear();
         node.raft = std::make_unique<Raft>(opened->id, timing, opened->stored, random_(),
@@ -221,6 +230,10 @@
     std::mt19937_64 &random() { return random_; }
 
     RaftTiming timing;
+    // Takes effect when a replica starts.
+    MembershipPolicy membershipPolicy;
+    Duration joinInterval = std::chrono::milliseconds(500); // of a replica's join requests
+    Duration membershipInterval = std::chrono::milliseconds(100); // of the leader's decisions
     size_t snapshotEvery = 50; // entries
     size_t inFlightBytes = Raft::kDefaultInFlightBytes;
     Faults faults;
@@ -326,28 +339,32 @@
         processOutput(to);
     }
 
-    // Replicas that are not voters send join requests to the leader.
+    // Replicas that are not voters send join requests to the leader, which decides on the
+    // membership.
     void processJoins()
     {
         const auto leaderIndex = leader();
         if (!leaderIndex)
             return;
         Node &node = *nodes[*leaderIndex];
-        std::map<ReplicaId, JoinRequest> requests;
+        const Instant leaderNow = localNow(node);
         for (size_t i = 0; i < nodes.size(); ++i) {
-            if (!isUp(i) || cutLinks_.count({ i, *leaderIndex }))
+            if (!isUp(i) || cutLinks_.count({ i, *leaderIndex }) || now < joinDue_[i])
                 continue;
             const ReplicaId id = nodes[i]->raft->id();
             const Replica *known = node.raft->membership().find(id);
-            if (!known || !known->voter)
-                requests[id] = { id, nodes[i]->name, "" };
+            if (known && known->voter)
+                continue;
+            joinDue_[i] = now + joinInterval;
+            node.membershipManager.addRequest({ id, nodes[i]->name, "" }, leaderNow);
         }
-        const auto match = [&](ReplicaId id) { return node.raft->matchIndex(id); };
-        const auto next = nextMembership(node.raft->membership(), requests, match,
-                                         node.raft->commitIndex());
-        if (!next)
+        if (now < membershipDue_)
+            return;
+        membershipDue_ = now + membershipInterval;
+        const auto change = node.membershipManager.nextChange(*node.raft, leaderNow);
+        if (!change)
             return;
-        (void)node.raft->proposeMembership(*next, localNow(node));
+        (void)node.raft->proposeMembership(change->membership, leaderNow);
         processOutput(*leaderIndex);
     }
 
@@ -355,6 +372,8 @@
     std::multimap<Instant, std::pair<size_t, RaftMessage>> messagesInFlight_;
     std::set<std::pair<size_t, size_t>> cutLinks_;
     std::map<size_t, Instant> linkBusyUntil_;
+    std::map<size_t, Instant> joinDue_; // by node
+    Instant membershipDue_ {};
 };
 
 } // namespace bamboogap
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -3,7 +3,6 @@
 #include "node/controltask.h"
 
 #include <algorithm>
-#include <limits>
 #include <random>
 #include <set>
 
@@ -58,6 +57,17 @@
     return {};
 }
 
+MembershipPolicy membershipPolicy(const ControlSettings &settings)
+{
+    MembershipPolicy policy;
+    if (settings.selfManaged) {
+        policy.maxVoters = settings.fullVoters;
+        policy.replacesLostVoters = true;
+        policy.lostAfter = settings.voterLost;
+    }
+    return policy;
+}
+
 tl::unexpected<Error> notLeader()
 {
     return failure(ErrorKind::NoLeader, "this replica does not lead the control group",
@@ -99,6 +109,7 @@
     , settings_(std::move(settings))
     , store_(std::move(disk))
     , state_(settings_.limits)
+    , membershipManager_(membershipPolicy(settings_))
 {
 }
 
@@ -260,7 +271,7 @@
 
 void ControlTask::join(const JoinRequest &replica)
 {
-    joining_.addOrRefresh(replica, BootClock::now());
+    membershipManager_.addRequest(replica, BootClock::now());
 }
 
 Result<void> ControlTask::removeReplica(std::string_view name)
@@ -268,7 +279,7 @@
     auto next = membershipWithout(raft_->membership(), name, raft_->id());
     if (!next)
         return tl::unexpected(next.error());
-    joining_.removeByName(name);
+    membershipManager_.removeRequests(name);
     auto index = raft_->proposeMembership(*next, BootClock::now());
     if (!index)
         return tl::unexpected(index.error());
@@ -506,7 +517,6 @@
     if (leads && !coordinator_ && maySpeak()) {
         coordinatorTerm_ = raft_->term();
         leadsSince_ = BootClock::now();
-        committedBefore_ = raft_->commitIndex();
         viewProposal_ = 0;
         coordinator_ = std::make_unique<Coordinator>(settings_.coordinator, coordinatorTerm_,
                                                      state_.view(), BootClock::now());
@@ -533,38 +543,28 @@
                 viewProposal_ = *index;
         }
     }
-    const auto match = [this](ReplicaId id) { return raft_->matchIndex(id); };
-    joining_.expire(now);
-    auto next = nextMembership(raft_->membership(), joining_.current(), match, committedBefore_,
-                               settings_.selfManaged ? settings_.fullVoters
-                                                     : std::numeric_limits<size_t>::max());
-    if (next) {
-        if (raft_->proposeMembership(*next, now)) {
-            logEvent(LogLevel::Info, "membership_proposed",
-                     { { "members", fmt::to_string(next->members.size()) },
-                       { "voters", fmt::to_string(next->voterCount()) } });
-        }
-    }
-    replaceLostVoter(now);
-    committedBefore_ = raft_->commitIndex();
+    maintainMembership(now);
     drain();
 }
 
-void ControlTask::replaceLostVoter(Instant now)
+void ControlTask::maintainMembership(Instant now)
 {
-    if (!settings_.selfManaged || now - leadsSince_ < settings_.voterLost)
+    const auto change = membershipManager_.nextChange(*raft_, now);
+    if (!change || !raft_->proposeMembership(change->membership, now))
+        return;
+    const std::string members = fmt::to_string(change->membership.members.size());
+    const std::string voters = fmt::to_string(change->membership.voterCount());
+    if (!change->lost) {
+        logEvent(LogLevel::Info, "membership_proposed",
+                 { { "members", members }, { "voters", voters } });
         return;
-    const auto isLost = [&](ReplicaId id) {
-        return id != raft_->id() && now - raft_->lastContact(id) > settings_.voterLost;
-    };
-    const auto match = [this](ReplicaId id) { return raft_->matchIndex(id); };
-    const auto next = withoutLostVoter(raft_->membership(), settings_.fullVoters, isLost, match,
-                                       committedBefore_);
-    if (next && raft_->proposeMembership(*next, now)) {
-        logEvent(LogLevel::Warning, "lost_voter_removed",
-                 { { "voters", fmt::to_string(next->voterCount()) },
-                   { "silent_ms", fmt::to_string(toMillis(settings_.voterLost)) } });
     }
+    const Duration silence = now - raft_->lastContact(change->lost->id);
+    logEvent(LogLevel::Warning, "lost_voter_removed",
+             { { "lost", change->lost->name },
+               { "members", members },
+               { "voters", voters },
+               { "silent_ms", fmt::to_string(toMillis(silence)) } });
 }
 
 // In a group that operators manage, a replica that they removed does not ask again.
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -157,7 +157,7 @@
     void formGroup();
     kj::Promise<std::vector<PeerIdentity>> askPeers();
     Result<void> found(std::span<const PeerIdentity> replies, SilentPeers silent);
-    void replaceLostVoter(Instant now);
+    void maintainMembership(Instant now);
     void compact();
     void stopReplica(const Error &error);
     void rejectPending();
@@ -176,7 +176,6 @@
     Instant leaderChangedAt_ {}; // when knownLeader_ was set
     LogIndex applied_ = 0;
     size_t bytesSinceSnapshot_ = 0; // of applied entries
-    LogIndex committedBefore_ = 0; // by the last look at the membership, while leading
     LogIndex viewProposal_ = 0; // not applied yet
     bool pokeQueued_ = false;
     uint64_t sample_ = 0;
@@ -190,7 +189,7 @@
     ProposedInstalls proposedInstalls_;
     std::map<ReplicaId, std::string> addresses_;
     std::map<ReplicaId, int> unanswered_; // messages in flight
-    JoinRequests joining_;
+    MembershipManager membershipManager_;
     std::string joinTarget_; // the leader that a replica named when asked to join
 };
 
