--- a/control/membership.cc
+++ b/control/membership.cc
@@ -38,6 +38,13 @@
     return std::nullopt;
 }
 
+Membership membershipWithout(const Membership &current, ReplicaId id)
+{
+    Membership next = current;
+    std::erase_if(next.members, [id](const Replica &member) { return member.id == id; });
+    return next;
+}
+
 } // namespace
 
 void JoinRequests::addOrRefresh(const JoinRequest &replica, Instant now)
@@ -95,26 +102,52 @@
 }
 
 std::optional<Membership> withoutLostVoter(const Membership &current, size_t targetVoters,
-                                           const std::function<bool(ReplicaId)> &isLost,
+                                           const std::function<Duration(ReplicaId)> &silence,
+                                           Duration lostAfter,
                                            const std::function<LogIndex(ReplicaId)> &matchIndex,
                                            LogIndex committed)
 {
     const bool replacementReady = std::any_of(
             current.members.begin(), current.members.end(), [&](const Replica &member) {
-                return !member.voter && !isLost(member.id) && matchIndex(member.id) >= committed;
+                return !member.voter && silence(member.id) <= lostAfter
+                        && matchIndex(member.id) >= committed;
             });
     if (current.voterCount() < targetVoters || !replacementReady)
         return std::nullopt;
+    const Replica *lost = nullptr;
     for (const Replica &member : current.members) {
-        if (!member.voter || !isLost(member.id))
-            continue;
-        Membership next = current;
-        std::erase_if(next.members, [&](const Replica &other) { return other.id == member.id; });
-        return next;
+        if (member.voter && silence(member.id) > lostAfter
+            && (!lost || silence(member.id) > silence(lost->id)))
+            lost = &member;
+    }
+    return lost ? std::optional(membershipWithout(current, lost->id)) : std::nullopt;
+}
+
+std::optional<Membership> withoutLostLearner(const Membership &current,
+                                             const std::map<ReplicaId, JoinRequest> &requests,
+                                             const std::function<Duration(ReplicaId)> &silence,
+                                             Duration lostAfter)
+{
+    for (const Replica &member : current.members) {
+        if (!member.voter && requests.count(member.id) == 0 && silence(member.id) > lostAfter)
+            return membershipWithout(current, member.id);
     }
     return std::nullopt;
 }
 
+Duration lostAfter(const RaftTiming &timing)
+{
+    return 2 * timing.electionMax;
+}
+
+MembershipPolicy selfManagedPolicy(size_t voters, const RaftTiming &timing)
+{
+    MembershipPolicy policy;
+    policy.maxVoters = voters;
+    policy.lostAfter = lostAfter(timing);
+    return policy;
+}
+
 void MembershipManager::addRequest(const JoinRequest &replica, Instant now)
 {
     requests_.addOrRefresh(replica, now);
@@ -124,25 +157,28 @@
 {
     if (term_ != raft.term()) {
         term_ = raft.term();
-        leadsSince_ = now;
         committedBefore_ = raft.commitIndex();
     }
     requests_.expire(now);
     const LogIndex committed = std::exchange(committedBefore_, raft.commitIndex());
+    const Membership &current = raft.membership();
     const auto match = [&raft](ReplicaId id) { return raft.matchIndex(id); };
-    if (auto next = nextMembership(raft.membership(), requests_.current(), match, committed,
-                                   policy_.maxVoters))
+    if (auto next
+        = nextMembership(current, requests_.current(), match, committed, policy_.maxVoters))
         return MembershipChange { std::move(*next), std::nullopt };
-    if (!policy_.replacesLostVoters || now - leadsSince_ < policy_.lostAfter)
+    if (!policy_.lostAfter)
         return std::nullopt;
-    const auto isLost = [&](ReplicaId id) {
-        return id != raft.id() && now - raft.lastContact(id) > policy_.lostAfter;
+    const auto silence = [&](ReplicaId id) {
+        return id == raft.id() ? Duration {} : now - raft.lastContact(id);
     };
-    auto next = withoutLostVoter(raft.membership(), policy_.maxVoters, isLost, match, committed);
+    auto next = withoutLostVoter(current, policy_.maxVoters, silence, *policy_.lostAfter, match,
+                                 committed);
+    if (!next)
+        next = withoutLostLearner(current, requests_.current(), silence, *policy_.lostAfter);
     if (!next)
         return std::nullopt;
     MembershipChange change { std::move(*next), std::nullopt };
-    for (const Replica &member : raft.membership().members) {
+    for (const Replica &member : current.members) {
         if (!change.membership.find(member.id))
             change.lost = member;
     }
@@ -165,9 +201,7 @@
         return failure(ErrorKind::Conflict, "the last voter cannot be removed",
                        "add another replica first");
     }
-    Membership next = current;
-    std::erase_if(next.members, [&](const Replica &other) { return other.id == member->id; });
-    return next;
+    return membershipWithout(current, member->id);
 }
 
 } // namespace bamboogap
--- a/control/membership.h
+++ b/control/membership.h
@@ -60,26 +60,42 @@
                                          LogIndex committed,
                                          size_t maxVoters = std::numeric_limits<size_t>::max());
 
-// For groups that replace lost voters without an operator: returns the membership without one
-// lost voter, or nullopt if none is to be removed now. A voter is removed only while the group
-// has at least targetVoters voters and a learner that is not lost has caught up with `committed`.
-// `isLost` returns whether a member has not answered for too long.
+// For groups that replace lost voters without an operator: returns the membership without the lost
+// voter that has been silent for longest, or nullopt if none is to be removed now. A voter is
+// removed only while the group has at least targetVoters voters and a learner that is not lost has
+// caught up with `committed`. `silence` returns how long a member has not answered; a member is
+// lost once that exceeds `lostAfter`.
 std::optional<Membership> withoutLostVoter(const Membership &current, size_t targetVoters,
-                                           const std::function<bool(ReplicaId)> &isLost,
+                                           const std::function<Duration(ReplicaId)> &silence,
+                                           Duration lostAfter,
                                            const std::function<LogIndex(ReplicaId)> &matchIndex,
                                            LogIndex committed);
 
+// Returns the membership without one learner that is lost and has no pending join request, or
+// nullopt if there is none.
+std::optional<Membership> withoutLostLearner(const Membership &current,
+                                             const std::map<ReplicaId, JoinRequest> &requests,
+                                             const std::function<Duration(ReplicaId)> &silence,
+                                             Duration lostAfter);
+
 // How a leader maintains the membership of its group.
 struct MembershipPolicy
 {
     // A joining replica becomes a voter only while there are fewer voters than this.
     size_t maxVoters = std::numeric_limits<size_t>::max();
-    // Lost voters are replaced without an operator.
-    bool replacesLostVoters = false;
-    // Silence after which a voter counts as lost.
-    Duration lostAfter = std::chrono::seconds(6);
+    // Silence after which a member counts as lost and may be removed without an operator; nullopt:
+    // members are removed by operators only.
+    std::optional<Duration> lostAfter;
 };
 
+// Silence after which a member of a group that replaces its lost voters by itself counts as lost:
+// the time in which the group notices that a leader is gone and elects another one. The next voters
+// may be lost as soon as the successors of the last ones have caught up, so a longer wait costs the
+// majority. A voter that loses its vote because of a short outage joins again, and is ready to
+// replace the next lost one.
+Duration lostAfter(const RaftTiming &timing);
+MembershipPolicy selfManagedPolicy(size_t voters, const RaftTiming &timing);
+
 // A membership to propose.
 struct MembershipChange
 {
@@ -107,7 +123,6 @@
     MembershipPolicy policy_;
     JoinRequests requests_;
     Term term_ = 0; // of the last call
-    Instant leadsSince_ {}; // of the first call in term_
     LogIndex committedBefore_ = 0; // the commit index at the last call
 };
 
--- a/control/testing/membership_test.cc
+++ b/control/testing/membership_test.cc
@@ -93,28 +93,70 @@
     CHECK(requests.current().empty());
 }
 
+constexpr Duration kLostAfter = milliseconds(1200);
+
+// Returns a function that gives the silence of the members listed, and none for all others.
+std::function<Duration(ReplicaId)> silent(std::map<ReplicaId, Duration> members)
+{
+    return [members = std::move(members)](ReplicaId id) {
+        const auto found = members.find(id);
+        return found == members.end() ? Duration {} : found->second;
+    };
+}
+
 TEST_CASE("a lost voter is removed only when a replacement has caught up")
 {
-    const auto lost = [](ReplicaId id) { return id == 3; };
-    LogIndex learnerAt = 0;
-    const auto match = [&](ReplicaId id) { return id == 9 ? learnerAt : LogIndex { 100 }; };
+    const auto without = [](const Membership &group, const std::function<Duration(ReplicaId)> &who,
+                            LogIndex learnerAt) {
+        const auto match = [&](ReplicaId id) { return id == 9 ? learnerAt : LogIndex { 100 }; };
+        return withoutLostVoter(group, 5, who, kLostAfter, match, 100);
+    };
+    const auto third = silent({ { 3, milliseconds(1201) } });
     Membership group = fiveVoters();
-    CHECK_FALSE(withoutLostVoter(group, 5, lost, match, 100));
+    CHECK_FALSE(without(group, third, 100));
     group.members.push_back({ 9, "r9", "", false });
-    CHECK_FALSE(withoutLostVoter(group, 5, lost, match, 100));
-    learnerAt = 99;
-    CHECK_FALSE(withoutLostVoter(group, 5, lost, match, 100));
-    learnerAt = 100;
-    const auto next = withoutLostVoter(group, 5, lost, match, 100);
+    CHECK_FALSE(without(group, third, 0));
+    CHECK_FALSE(without(group, third, 99));
+    CHECK_FALSE(without(group, silent({ { 3, kLostAfter } }), 100));
+    const auto next = without(group, third, 100);
     REQUIRE(next);
     CHECK(next->find(3) == nullptr);
     CHECK(next->voterCount() == 4);
     // With four voters none is removed; the replacement has to become a voter first.
-    CHECK_FALSE(withoutLostVoter(
-            *next, 5, [](ReplicaId id) { return id == 4; }, match, 100));
+    CHECK_FALSE(without(*next, silent({ { 4, seconds(2) } }), 100));
     // A learner that is itself lost is no replacement.
-    CHECK_FALSE(withoutLostVoter(
-            group, 5, [](ReplicaId id) { return id == 3 || id == 9; }, match, 100));
+    CHECK_FALSE(without(group, silent({ { 3, seconds(2) }, { 9, seconds(2) } }), 100));
+}
+
+// A voter that was frozen for a moment used to lose its vote in place of the one that was gone if
+// it came first in the list.
+TEST_CASE("of the lost voters, the one that has been silent for longest is removed first")
+{
+    Membership group = fiveVoters();
+    group.members.push_back({ 9, "r9", "", false });
+    const auto match = [](ReplicaId) { return LogIndex { 100 }; };
+    const auto next = withoutLostVoter(group, 5, silent({ { 2, seconds(2) }, { 4, seconds(3) } }),
+                                       kLostAfter, match, 100);
+    REQUIRE(next);
+    CHECK(next->find(2) != nullptr);
+    CHECK(next->find(4) == nullptr);
+}
+
+// Learners that were gone for good used to stay members, and a leader kept sending to them.
+TEST_CASE("a learner that is lost and does not ask to join is removed")
+{
+    Membership group = fiveVoters();
+    group.members.push_back({ 8, "r8", "", false });
+    group.members.push_back({ 9, "r9", "", false });
+    const auto both = silent({ { 8, seconds(2) }, { 9, seconds(2) }, { 1, seconds(2) } });
+    JoinRequests requests;
+    requests.addOrRefresh({ 8, "r8", "" }, kStart);
+    const auto next = withoutLostLearner(group, requests.current(), both, kLostAfter);
+    REQUIRE(next);
+    CHECK(next->find(9) == nullptr);
+    CHECK(next->members.size() == 6);
+    CHECK_FALSE(withoutLostLearner(*next, requests.current(), both, kLostAfter));
+    CHECK_FALSE(withoutLostLearner(group, {}, silent({}), kLostAfter));
 }
 
 TEST_CASE("an order for a data centre is void once a newer one was accepted")
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -18,8 +18,6 @@
 constexpr Duration kTick = std::chrono::milliseconds(20);
 constexpr Duration kCoordinate = std::chrono::milliseconds(100);
 constexpr Duration kAskToJoin = std::chrono::milliseconds(500);
-// A member that hears from no leader for this long may have been removed.
-constexpr Duration kLeaderSilence = std::chrono::seconds(2);
 constexpr Duration kExpire = std::chrono::seconds(5);
 // Nodes that start together answer each other within this time; one that does not is down.
 constexpr Duration kStartTogether = std::chrono::seconds(3);
@@ -57,17 +55,6 @@
     return {};
 }
 
-MembershipPolicy membershipPolicy(const ControlSettings &settings)
-{
-    MembershipPolicy policy;
-    if (settings.selfManaged) {
-        policy.maxVoters = settings.fullVoters;
-        policy.replacesLostVoters = true;
-        policy.lostAfter = settings.voterLost;
-    }
-    return policy;
-}
-
 tl::unexpected<Error> notLeader()
 {
     return failure(ErrorKind::NoLeader, "this replica does not lead the control group",
@@ -109,7 +96,9 @@
     , settings_(std::move(settings))
     , store_(std::move(disk))
     , state_(settings_.limits)
-    , membershipManager_(membershipPolicy(settings_))
+    , membershipManager_(settings_.selfManaged
+                                 ? selfManagedPolicy(settings_.fullVoters, settings_.timing)
+                                 : MembershipPolicy {})
 {
 }
 
@@ -560,7 +549,7 @@
         return;
     }
     const Duration silence = now - raft_->lastContact(change->lost->id);
-    logEvent(LogLevel::Warning, "lost_voter_removed",
+    logEvent(LogLevel::Warning, change->lost->voter ? "lost_voter_removed" : "lost_learner_removed",
              { { "lost", change->lost->name },
                { "members", members },
                { "voters", voters },
@@ -575,8 +564,9 @@
     formGroup();
     const Replica *self = raft_->membership().find(raft_->id());
     wasMember_ = wasMember_ || self;
+    // The leader may have removed a replica that was frozen or cut off for so long.
     const bool cutOff = settings_.selfManaged && raft_->role() != RaftRole::Leader
-            && BootClock::now() - raft_->lastLeaderContact() > kLeaderSilence;
+            && BootClock::now() - raft_->lastLeaderContact() > lostAfter(settings_.timing);
     const bool settled = self && self->voter && self->address == settings_.address;
     if ((settled && !cutOff) || (wasMember_ && !self && !settings_.selfManaged))
         return;
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -44,8 +44,6 @@
     // First start of the whole fleet: a group may be formed.
     bool firstStart = false;
     size_t fullVoters = 5;
-    // A voter that was silent for this long gives way to a waiting replica.
-    Duration voterLost = std::chrono::seconds(6);
 };
 
 // A self-managed group is founded at the first start of the fleet (control/formation). All
