--- a/routing/endpointselector.cc
+++ b/routing/endpointselector.cc
@@ -123,8 +123,15 @@
         }
         status.dataCentreOut = out;
     }
-    std::erase_if(statuses_, [](const auto &item) {
-        return !item.second.present && item.second.running == 0 && !item.second.dataCentreOut;
+    std::erase_if(statuses_, [&](const auto &item) {
+        const EndpointStatus &status = item.second;
+        if (status.present || status.running > 0 || status.dataCentreOut)
+            return false;
+        // What an endpoint said of itself, and what it was sent, count for its whole incarnation,
+        // which goes on if only its heartbeats are late.
+        const MergedRoster::Endpoint *known = roster.find(status.id);
+        const bool mayReturn = known && known->record.state != EndpointState::Gone;
+        return !mayReturn && !status.backoff.isActive(now);
     });
 }
 
--- a/routing/endpointselector.h
+++ b/routing/endpointselector.h
@@ -130,7 +130,9 @@
     explicit EndpointSelector(EndpointSelectorSettings settings = {});
 
     // Applies the roster, outages and service profiles. Endpoints of a data centre that
-    // returns to service count as cold for the service's warm-up time.
+    // returns to service count as cold for the service's warm-up time. The status of an endpoint
+    // lasts until another incarnation begins, or the endpoint has left or is no longer in the
+    // roster and its back-off is over.
     void update(const MergedRoster &roster, const std::set<std::string> &dataCentresOut,
                 const RouteTable *table, Instant now);
     // Sets the requests that all other routers have in flight; endpoints that are not in
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -546,6 +546,53 @@
     assert fleet.send_request("/order/1", "POST", b"{}")[0] == 200
 
 
+def quiet_without_heartbeats(fleet):
+    """A back-off that an endpoint asked for holds although its heartbeats fail meanwhile. Routers
+    used to forget it with the heartbeats (review/10)."""
+    quiet_seconds = 10.0
+    set_up_endpoints(fleet)
+    quiet, other = fleet.endpoints[:2]
+    other.delay = 0.1  # so that both are worth a request
+    asked_at = {}  # by router
+    reached = []  # times of later requests
+
+    def reject(handler, endpoint):
+        router = handler.headers["X-Router"]
+        if router in asked_at:
+            reached.append(time.monotonic())
+            return False
+        asked_at[router] = time.monotonic()
+        endpoint.respond(handler, 503, b"", {"X-Not-Executed": "1",
+                                             "Retry-After": str(quiet_seconds)}, signed=False)
+        return True
+
+    def send(number):
+        router = number % len(fleet.routers)
+        assert fleet.send_request("/read/1", router=router, X_Router=str(router))[0] == 200
+
+    quiet.on_request = reject
+    for number in range(200):
+        if len(asked_at) == len(fleet.routers):
+            break
+        send(number)
+    assert len(asked_at) == len(fleet.routers), "the endpoint got no request"
+    quiet.sends_heartbeats = False
+    wait_for(lambda: not any(item["usable"] for router in fleet.routers
+                             for item in router.status()["endpoints"]
+                             if item["id"] == quiet.name), 5, "its heartbeats have timed out")
+    quiet.sends_heartbeats = True
+    threading.Thread(target=quiet.heartbeat_loop, daemon=True).start()
+    fleet.wait_for_endpoints()
+    quiet_until = min(asked_at.values()) + quiet_seconds
+    assert time.monotonic() < quiet_until - 1, "too slow: the back-off was nearly over"
+    number = 0
+    while time.monotonic() < quiet_until - 0.2:
+        send(number)
+        number += 1
+    assert not reached, f"{len(reached)} of {number} requests reached an endpoint in its back-off"
+    wait_for(lambda: send(number) or reached, 5, "it gets requests again")
+
+
 def outage(fleet):
     other = fleet.add_endpoint("plain-c", "plain", data_centre="dc2")
     set_up_endpoints(fleet)
