--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -190,7 +190,7 @@
     }
     const Route &route = *active.route;
     const Workspace *workspace = active.table->workspaceOfKey(active.caller.accessKey);
-    if (active.table->hasWorkspaces() && !route.anonymous && !workspace) {
+    if (active.table->requiresAccessKey() && !route.anonymous && !workspace) {
         refuse(active, sure ? Refusal::BadKey : Refusal::NotReady, "the access key is not known");
         return false;
     }
--- a/routing/routetable.cc
+++ b/routing/routetable.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 
 #include <fmt/format.h>
 
@@ -76,13 +77,15 @@
             return content.routes[a].prefix.size() > content.routes[b].prefix.size();
         });
     }
-    for (size_t i = 0; i < content.workspaces.size(); ++i) {
-        for (const std::string &key : content.workspaces[i].keys) {
+    std::span<const Workspace> workspaces;
+    if (content.workspaces)
+        workspaces = *content.workspaces;
+    for (size_t i = 0; i < workspaces.size(); ++i) {
+        for (const std::string &key : workspaces[i].keys) {
             const auto [known, added] = table.workspacesByKey_.emplace(key, i);
             if (!added && known->second != i) {
                 return invalid(fmt::format("workspaces '{}' and '{}' share a key",
-                                           content.workspaces[known->second].name,
-                                           content.workspaces[i].name),
+                                           workspaces[known->second].name, workspaces[i].name),
                                "give each workspace keys of its own");
             }
         }
@@ -113,7 +116,7 @@
 const Workspace *RouteTable::workspaceOfKey(std::string_view key) const
 {
     const auto found = workspacesByKey_.find(std::string(key));
-    return found == workspacesByKey_.end() ? nullptr : &content_.workspaces[found->second];
+    return found == workspacesByKey_.end() ? nullptr : &(*content_.workspaces)[found->second];
 }
 
 const RouteTarget &targetAt(const Route &route, double point)
--- a/routing/routetable.h
+++ b/routing/routetable.h
@@ -86,7 +86,8 @@
         uint64_t version = 0;
         std::vector<Route> routes;
         std::vector<ServiceProfile> services;
-        std::vector<Workspace> workspaces;
+        // If absent, requests need no access key. If empty, no access key is valid.
+        std::optional<std::vector<Workspace>> workspaces;
         CallerLimits limits;
     };
 
@@ -100,8 +101,8 @@
     const std::vector<Route> &routes() const { return content_.routes; }
     const std::vector<ServiceProfile> &services() const { return content_.services; }
     const CallerLimits &limits() const { return content_.limits; }
-    // Requests need an access key if any workspaces are defined.
-    bool hasWorkspaces() const { return !content_.workspaces.empty(); }
+    // Whether requests on routes that are not anonymous need an access key.
+    bool requiresAccessKey() const { return content_.workspaces.has_value(); }
 
     // The route of the host with the longest prefix that matches the path; null if there is
     // none. path has no query.
--- a/routing/testing/direct_test.cc
+++ b/routing/testing/direct_test.cc
@@ -52,7 +52,7 @@
           == "route 'r1': the weights add up to 0");
     CHECK(rejected([](auto &result) { result.routes[0].timeout = {}; })
           == "route 'r1': the timeout is 0");
-    CHECK(rejected([](auto &result) { result.workspaces[1].keys.push_back("k1"); })
+    CHECK(rejected([](auto &result) { (*result.workspaces)[1].keys.push_back("k1"); })
           == "workspaces 'w1' and 'w2' share a key");
     CHECK(rejected([](auto &result) { result.routes[0].prefix = "/x"; }).find("slash")
           != std::string::npos);
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -1052,6 +1052,38 @@
     wait_for(lambda: fleet.send_request("/read/1")[0] == 200, 10, "other requests are served")
 
 
+def last_tenant_removed(fleet):
+    """Without a tenant no key is valid, also after a restart of all nodes. An empty list of tenants
+    used to open all routes to everyone (review/7). Without a list no key is needed."""
+    set_up_endpoints(fleet)
+
+    def statuses():
+        return {fleet.send_request("/order/1", "POST", b"{}", router=router, key=key)[0]
+                for router in range(len(fleet.routers))
+                for key in ("key-1", "key-that-never-was", None)}
+
+    assert statuses() == {200, 401}
+    fleet.install(8, tenants=[])
+    assert statuses() == {401}, statuses()
+    for node in fleet.replicas + fleet.routers:
+        node.kill()
+    for node in fleet.replicas + fleet.routers:
+        node.write_settings(first_start=False)
+        node.start()
+    wait_for(lambda: fleet.voters() == 5, 20, "all replicas are voters")
+    fleet.wait_for_endpoints()
+    wait_for(lambda: all(router.ready() for router in fleet.routers), 10, "routers are ready")
+    assert statuses() == {401}, statuses()
+    body = fleet.configuration(9)
+    del body["tenants"]
+    assert fleet.control("PUT", "/v1/configuration", body)[0] == 200
+    wait_for(lambda: statuses() == {200}, 5, "requests need no key")
+    fleet.install(10, tenants=[])
+    assert statuses() == {401}, statuses()
+    fleet.install(11)
+    assert statuses() == {200, 401}
+
+
 def quarantine_outlives_restarts(fleet):
     """A quarantined request stays so while replicas and then all nodes restart."""
     set_up_endpoints(fleet)
