--- a/routing/routetable.cc
+++ b/routing/routetable.cc
@@ -115,6 +115,8 @@
 
 const Workspace *RouteTable::workspaceOfKey(std::string_view key) const
 {
+    if (key.empty())
+        return nullptr;
     const auto found = workspacesByKey_.find(std::string(key));
     return found == workspacesByKey_.end() ? nullptr : &(*content_.workspaces)[found->second];
 }
--- a/routing/routetable.h
+++ b/routing/routetable.h
@@ -108,7 +108,7 @@
     // none. path has no query.
     const Route *match(std::string_view host, std::string_view path) const;
     const ServiceProfile *service(std::string_view name) const;
-    // Null if the key is unknown.
+    // Null if the key is unknown, or empty as that of a request without one.
     const Workspace *workspaceOfKey(std::string_view key) const;
 
 private:
