--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -4,9 +4,9 @@
 // a request of evhttp's that it has not seen whole is refused, and its connection closed.
 //
 // Two things evhttp leaves to its user. While a handler works, evhttp reads
-// nothing and so does not see a caller go; an own event for the half-close of
-// the socket tells. And its read timeout, meant for slow senders, would also
-// end a long answer, so it is lifted while an answer is on its way.
+// nothing and so does not see a caller go; CallerWatch does. And its read
+// timeout, meant for slow senders, would also end a long answer, so it is
+// lifted while an answer is on its way.
 
 #include "node/httpserver.h"
 
@@ -42,6 +42,9 @@
 // A caller that is refused while it sends gets so long to read the answer: a connection that is
 // closed with unread bytes is reset, and the answer lost.
 constexpr Duration kDiscard = std::chrono::seconds(1);
+// How often the socket of a caller that has sent more than its request is asked whether it is
+// closed.
+constexpr Duration kLookForClose = std::chrono::milliseconds(100);
 constexpr std::string_view kRetryAfter = "1"; // seconds
 constexpr uint32_t kMostImportant = 0;
 // Left for connections to endpoints and peers, and for files.
@@ -144,6 +147,52 @@
     evbuffer_free(body);
 }
 
+// Reports once that the caller of an exchange has closed or reset its connection.
+//
+// libevent reports a reset as readable and writable, and not as closed; as long as a socket that
+// was reset is watched for something else, the loop is woken without end. So the watch waits for
+// readability, and asks the socket what it means. Bytes of a next request, which evhttp leaves in
+// the socket, keep it readable; meanwhile the watch asks at intervals.
+class CallerWatch
+{
+public:
+    CallerWatch(event_base *base, evutil_socket_t socket, std::function<void()> onClosed)
+        : socket_(socket)
+        , onClosed_(std::move(onClosed))
+        , readable_(event_new(base, socket, EV_READ, &CallerWatch::onEvent, this))
+        , interval_(event_new(base, -1, 0, &CallerWatch::onEvent, this))
+    {
+        event_add(readable_.get(), nullptr);
+    }
+
+private:
+    struct FreeEvent
+    {
+        void operator()(event *freed) const { event_free(freed); }
+    };
+
+    static void onEvent(evutil_socket_t, short, void *raw)
+    {
+        auto *watch = static_cast<CallerWatch *>(raw);
+        if (!isEstablished(watch->socket_)) {
+            watch->onClosed_();
+            return;
+        }
+        char next = 0;
+        if (recv(watch->socket_, &next, 1, MSG_PEEK | MSG_DONTWAIT) == 1) {
+            const timeval interval = toTimeval(kLookForClose);
+            event_add(watch->interval_.get(), &interval);
+        } else {
+            event_add(watch->readable_.get(), nullptr);
+        }
+    }
+
+    evutil_socket_t socket_;
+    std::function<void()> onClosed_;
+    std::unique_ptr<event, FreeEvent> readable_;
+    std::unique_ptr<event, FreeEvent> interval_;
+};
+
 } // namespace
 
 struct HttpServer::Exchange
@@ -151,7 +200,7 @@
     HttpServer *server = nullptr;
     ExchangeId id = 0;
     evhttp_request *request = nullptr; // null once evhttp has freed it
-    event *closeEvent = nullptr;
+    std::optional<CallerWatch> callerWatch;
     bool gone = false; // the caller closed its side
     bool answered = false; // in full; evhttp writes it
     bool streaming = false;
@@ -165,8 +214,6 @@
     {
         server->bodies_.release(heldBytes);
         server->heads_.release(heldHeadBytes);
-        if (closeEvent)
-            event_free(closeEvent);
         if (request) {
             if (evhttp_connection *connection = evhttp_request_get_connection(request))
                 evhttp_connection_set_closecb(connection, nullptr, nullptr);
@@ -712,15 +759,10 @@
     exchange->heldHeadBytes = headCost;
     if (watch && watch->handled == 1)
         exchange->waitForFirst = BootClock::now() - watch->acceptedAt;
-    exchange->closeEvent = event_new(
-            server->loop_.base(), socket, EV_CLOSED,
-            [](evutil_socket_t, short, void *raw) {
-                auto *left = static_cast<Exchange *>(raw);
-                left->server->freeAbandoned(left->id);
-                left->callerGone();
-            },
-            exchange.get());
-    event_add(exchange->closeEvent, nullptr);
+    exchange->callerWatch.emplace(server->loop_.base(), socket, [left = exchange.get()] {
+        left->server->freeAbandoned(left->id);
+        left->callerGone();
+    });
     evhttp_connection_set_closecb(
             connection,
             [](evhttp_connection *gone, void *raw) {
--- a/testing/exchanges_test.py
+++ b/testing/exchanges_test.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import socket
+import struct
 import threading
 import time
 
@@ -20,6 +21,9 @@
 SPARE_DESCRIPTORS = 12
 DESCRIPTORS = 200  # of a router that runs out of them
 BACK_SECONDS = 6  # until descriptors are free again
+NOTICE_SECONDS = 0.5  # in which the router ends a request whose caller has left
+WORK_SECONDS = 3.0  # longer than NOTICE_SECONDS and the time after which a request is repeated
+REPEAT_SECONDS = 2.0
 
 
 def descriptors(node):
@@ -74,6 +78,82 @@
     assert router.alive()
 
 
+def reset(caller):
+    """Closes the connection so that the other side gets a reset."""
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+
+
+def callers_reset(fleet):
+    """Guards against callers that leave with a reset and are not noticed: their requests stayed at
+    the endpoints, went to others, too, and the router was busy until they ended (review/9)."""
+    set_up_endpoints(fleet)
+    router = fleet.routers[0]
+    address = router.address("callers")
+    resetters = 40
+
+    def answer_late(handler, endpoint):
+        if "leaves" in handler.headers.get("X-Attempt-Id", ""):
+            time.sleep(WORK_SECONDS)
+        return False
+
+    for endpoint in fleet.endpoints:
+        endpoint.slots = CALLERS
+        endpoint.on_request = answer_late
+    time.sleep(1)  # until the slots are known
+    for _ in range(4):
+        assert fleet.send_request("/read/1")[0] == 200
+    before = descriptors(router)
+    read = {"path": "/read/1", "method": "GET", "fields": ""}
+    ways = {
+        "before the answer": (0.15, {**read, "body": ""}),
+        "after bytes of a next request": (0.15, {**read, "body": "GET /read/1 HTTP/1.1\r\n"}),
+        "after a long body": (0.15, {"path": "/read/1", "fields": "Content-Length: 20000\r\n",
+                                    "body": "b" * 20000}),
+        "before the first event": (0.15, {"path": "/stream/1"}),
+        "within the body": (0.05, {"path": "/read/1", "fields": "Content-Length: 90\r\n"}),
+        "at once": (0.0, {**read, "body": ""}),
+        "a moment after the request": (0.01, {**read, "body": ""}),
+    }
+    for name, (leave_after, request) in ways.items():
+        received = sum(len(endpoint.received) for endpoint in fleet.endpoints)
+        used = processor_seconds(router)
+        began = time.monotonic()
+        callers = [start_request(address, number, **request) for number in range(resetters)]
+        time.sleep(leave_after)
+        for caller in callers:
+            reset(caller)
+        wait_for(lambda: descriptors(router) <= before + SPARE_DESCRIPTORS, NOTICE_SECONDS,
+                 f"requests end after callers reset {name}")
+        time.sleep(max(0.0, began + REPEAT_SECONDS - time.monotonic()))
+        received = sum(len(endpoint.received) for endpoint in fleet.endpoints) - received
+        assert received <= resetters, f"{received} requests reached endpoints: {name}"
+        busy = (processor_seconds(router) - used) / (time.monotonic() - began)
+        assert busy < 0.5, f"the router was busy {busy:.0%} of the time: {name}"
+        assert fleet.send_request("/read/1")[0] == 200, name
+    assert router.alive()
+
+
+def resets_within_streams(fleet):
+    """As callers_reset, while events come: the router also learns it from what it writes."""
+    set_up_endpoints(fleet)
+    router = fleet.routers[0]
+    for endpoint in fleet.endpoints[2:]:
+        endpoint.slots = CALLERS
+        endpoint.event_interval = 1.0
+    time.sleep(1)  # until the slots are known
+    assert fleet.send_request("/read/1")[0] == 200
+    before = descriptors(router)
+    for path in ("/stream/1", "/stream/once/1"):
+        callers = [start_request(router.address("callers"), number, path) for number in range(40)]
+        for caller in callers:
+            assert caller.recv(1), "a stream has not begun"
+        for caller in callers:
+            reset(caller)
+        wait_for(lambda: descriptors(router) <= before + SPARE_DESCRIPTORS, NOTICE_SECONDS,
+                 f"streams end after callers reset {path}")
+
+
 def address_that_fails_at_once(fleet):
     """Guards against a call that is used after it ended within its start: an endpoint announces an
     address to which no connection can be begun."""
@@ -163,8 +243,8 @@
     assert "bamboogap_connections_refused_total" in metrics
 
 
-CASES = {case.__name__: case for case in (callers_leave, address_that_fails_at_once,
-                                          descriptors_used_up)}
+CASES = {case.__name__: case for case in (callers_leave, callers_reset, resets_within_streams,
+                                          address_that_fails_at_once, descriptors_used_up)}
 
 
 if __name__ == "__main__":
--- a/testing/fuzz_ends.py
+++ b/testing/fuzz_ends.py
@@ -6,8 +6,8 @@
 Callers leave before the end of the head, within the body, before the first byte, within a stream, by a
 close or a reset, or stay; endpoints answer, stall, reset, end without an answer, break off streams
 or refuse. After each round the router's descriptors and open requests are back, at the end its
-memory too, it serves, and it stops in time. A failing round is played again with each half of its
-exchanges left out while it still fails.
+memory too, it was not busy all the time, it serves, and it stops in time. A failing round is
+played again with each half of its exchanges left out while it still fails.
 """
 
 import argparse
@@ -21,6 +21,7 @@
 import threading
 import time
 
+from exchanges_test import processor_seconds
 from fleet import wait_for
 from platform_fleet import DirectFleet, call
 from platform_test import set_up_endpoints
@@ -30,6 +31,7 @@
 SPARE_DESCRIPTORS = 20  # kept connections to endpoints and replicas come and go
 SPARE_MB = 30
 BACK_SECONDS = 8.0
+BUSY_SHARE = 0.25  # of a processor, by the router over a round
 WAYS = ["stays", "within the head", "within the body", "before the first byte", "within a stream",
         "resets", "at once"]
 ENDS = ["answers", "stalls", "resets", "closes", "breaks off", "refuses", "fails"]
@@ -130,6 +132,8 @@
 
     def failure_of(self, exchanges):
         """Returns what is wrong after the exchanges, or None."""
+        began = time.monotonic()
+        used = processor_seconds(self.router)
         self.play(exchanges)
         if not self.router.alive():
             return "the router has ended"
@@ -144,6 +148,9 @@
         except AssertionError as error:
             return (f"{error}: {len(os.listdir(f'/proc/{self.router.popen.pid}/fd'))} descriptors, "
                     f"{self.descriptors} before, {self.open_requests():.0f} requests open")
+        busy = (processor_seconds(self.router) - used) / (time.monotonic() - began)
+        if busy > BUSY_SHARE:
+            return f"the router was busy {busy:.0%} of the time"
         return None
 
     def shorten(self, build, exchanges):
