--- a/base/testing/base_test.cc
+++ b/base/testing/base_test.cc
@@ -3,8 +3,10 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "base/compress.h"
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "base/pausewatch.h"
 
@@ -99,5 +101,20 @@
     CHECK_FALSE(pauses.isAfterPause(now));
 }
 
+// Serializing an id that was no UTF-8 used to end the process (review/8).
+TEST_CASE("text that is not UTF-8 is replaced in JSON")
+{
+    const nlohmann::json value { { "id", "i-\xff\xfe" }, { "text", "d\xc3\xa9j\xc3\xa0" } };
+    const nlohmann::json back = nlohmann::json::parse(jsonText(value));
+    CHECK(back["text"] == value["text"]);
+    CHECK(back["id"] == "i-\xef\xbf\xbd\xef\xbf\xbd");
+    CHECK(isUtf8("i-7f3a91c2"));
+    CHECK(isUtf8("d\xc3\xa9j\xc3\xa0"));
+    CHECK_FALSE(isUtf8("i-\xff\xfe"));
+    CHECK_FALSE(isUtf8("\xc3")); // incomplete
+    CHECK_FALSE(isUtf8("\xed\xa0\x80")); // a surrogate
+    CHECK_FALSE(isUtf8("\xc0\xaf")); // overlong
+}
+
 } // namespace
 } // namespace bamboogap
--- a/control/raft.cc
+++ b/control/raft.cc
@@ -15,6 +15,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
+
 namespace bamboogap {
 
 const Replica *Membership::find(ReplicaId id) const
@@ -46,7 +48,7 @@
                          { "address", member.address },
                          { "voter", member.voter } });
     }
-    return list.dump();
+    return jsonText(list);
 }
 
 Result<Membership> parseMembership(std::string_view bytes)
--- a/ctl/bamboogapctl.cc
+++ b/ctl/bamboogapctl.cc
@@ -13,6 +13,7 @@
 #include <tclap/CmdLine.h>
 
 #include "base/error.h"
+#include "base/jsontext.h"
 #include "ctl/report.h"
 #include "node/endpointcall.h"
 #include "node/eventloop.h"
@@ -162,7 +163,7 @@
     if (options.asJson || response.body.is_string()) {
         fmt::print("{}\n",
                    response.body.is_string() ? response.body.get<std::string>()
-                                             : response.body.dump(2));
+                                             : bamboogap::jsonText(response.body, 2));
     } else if (succeeded) {
         fmt::print("{}", bamboogap::formatAsText(response.body));
     }
@@ -206,7 +207,7 @@
             return printResponse(options, *lists);
         change["base"] = lists->body.value("revision", uint64_t { 0 });
     }
-    const auto response = client.call("POST", "/v1/operators/changes", change.dump());
+    const auto response = client.call("POST", "/v1/operators/changes", bamboogap::jsonText(change));
     if (!response)
         return printError(response.error());
     const int exitCode = printResponse(options, *response);
@@ -251,7 +252,7 @@
     const json order { { "service", options.arguments[kService] },
                        { "version", options.arguments[kVersion] },
                        { "duration_s", seconds } };
-    const auto response = client.call("POST", "/v1/operators/rollouts", order.dump());
+    const auto response = client.call("POST", "/v1/operators/rollouts", bamboogap::jsonText(order));
     return response ? printResponse(options, *response) : printError(response.error());
 }
 
--- a/ctl/report.cc
+++ b/ctl/report.cc
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "base/jsontext.h"
+
 namespace bamboogap {
 
 namespace {
@@ -18,7 +20,7 @@
         return value.get<std::string>();
     if (value.is_boolean())
         return value.get<bool>() ? "yes" : "no";
-    return value.dump();
+    return jsonText(value);
 }
 
 bool isTable(const json &value)
--- a/fleet/announcement.cc
+++ b/fleet/announcement.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "base/hash.h"
+#include "base/jsontext.h"
 
 namespace bamboogap {
 
@@ -215,7 +216,7 @@
 
 uint64_t digestOf(const Announcement &announcement)
 {
-    return hashBytes(toJson(announcement).dump());
+    return hashBytes(jsonText(toJson(announcement)));
 }
 
 bool supersedes(const Announcement &candidate, const Announcement &known)
--- a/node/controlserver.cc
+++ b/node/controlserver.cc
@@ -4,6 +4,7 @@
 
 #include <kj/debug.h>
 
+#include "base/jsontext.h"
 #include "node/convert.h"
 
 namespace bamboogap {
@@ -70,7 +71,7 @@
         return kj::READY_NOW;
     }
     results.setAnswered(true);
-    results.setStatus(control_->status().dump());
+    results.setStatus(jsonText(control_->status()));
     return kj::READY_NOW;
 }
 
--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "node/directrequest.h"
 
@@ -503,8 +504,7 @@
     reply.headers = dialect_.refusalHeaders(active.caller.id, retryAfter);
     if (stopping_)
         reply.headers.push_back({ "Connection", "close" });
-    reply.body = nlohmann::json { { "error", { { "type", type }, { "message", reason } } } }.dump(
-            -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    reply.body = jsonText({ { "error", { { "type", type }, { "message", reason } } } });
     logEnd(active, status, reason);
     const ExchangeId id = active.id;
     server_->reply(id, reply);
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -14,6 +14,7 @@
 #include <fmt/format.h>
 #include <kj/debug.h>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "node/controltask.h"
 #include "node/convert.h"
@@ -313,7 +314,7 @@
             reply.body = metrics_.render();
         } else if (request.pathOnly() == "/v1/operators/node"
                    || request.pathOnly() == "/v1/operators/status") {
-            reply.body = nodeStatus().dump();
+            reply.body = jsonText(nodeStatus());
         } else if (request.method == "POST" && front_
                    && request.pathOnly() == "/v1/operators/quarantine/release") {
             liftQuarantine(id, request.query("fingerprint"));
--- a/node/endpointpool.cc
+++ b/node/endpointpool.cc
@@ -128,7 +128,9 @@
     const char *connection = evhttp_find_header(input, "Connection");
     call->mayKeep = !connection || evutil_ascii_strcasecmp(connection, "close") != 0;
     call->headSeen = true;
-    if (call->hooks.onHead(status, headers))
+    bool isWanted = false;
+    runCallback("answer head", [&] { isWanted = call->hooks.onHead(status, headers); });
+    if (isWanted)
         return 0;
     call->reason = "answer refused";
     call->mayKeep = false;
@@ -144,7 +146,7 @@
         return;
     call->received += size;
     const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
-    call->hooks.onData({ bytes, size });
+    runCallback("answer data", [&] { call->hooks.onData({ bytes, size }); });
     evbuffer_drain(input, size);
 }
 
@@ -424,7 +426,7 @@
             retire(std::move(call->connection));
         }
     }
-    call->hooks.onEnd(end, reason);
+    runCallback("answer end", [&] { call->hooks.onEnd(end, reason); });
 }
 
 void EndpointPool::retire(std::unique_ptr<Connection> connection)
--- a/node/entrytask.cc
+++ b/node/entrytask.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "node/convert.h"
 
@@ -119,7 +120,7 @@
     for (const std::string &model : models)
         data.push_back({ { "id", model }, { "object", "model" }, { "owned_by", "bamboogap" } });
     HttpReply reply;
-    reply.body = nlohmann::json { { "object", "list" }, { "data", data } }.dump();
+    reply.body = jsonText({ { "object", "list" }, { "data", data } });
     server_->reply(exchange, reply);
 }
 
--- a/node/eventloop.cc
+++ b/node/eventloop.cc
@@ -365,7 +365,7 @@
 void EventLoop::every(Duration interval, std::function<void()> hook)
 {
     tasks_->add(sleep(interval).then([this, interval, hook = std::move(hook)]() mutable {
-        hook();
+        runCallback("every", hook);
         every(interval, std::move(hook));
     }));
 }
@@ -426,6 +426,17 @@
     return { micros / 1000000, micros % 1000000 };
 }
 
+bool runCallback(std::string_view what, const std::function<void()> &callback)
+{
+    KJ_IF_MAYBE (exception, kj::runCatchingExceptions([&callback] { callback(); })) {
+        logEvent(LogLevel::Error, "callback_failed",
+                 { { "callback", std::string(what) },
+                   { "problem", std::string(exception->getDescription().cStr()) } });
+        return false;
+    }
+    return true;
+}
+
 void setNoDelay(evutil_socket_t socket)
 {
     const int on = 1;
--- a/node/eventloop.h
+++ b/node/eventloop.h
@@ -87,6 +87,10 @@
     virtual ~StreamListener() = default;
 };
 
+// Runs what a C library calls back for: no exception may pass through the library. False if one
+// was thrown; it is logged as callback_failed.
+bool runCallback(std::string_view what, const std::function<void()> &callback);
+
 // For libevent; a negative duration becomes 0.
 timeval toTimeval(Duration duration);
 
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -23,10 +23,12 @@
 #include <event2/listener.h>
 #include <fmt/format.h>
 #include <kj/debug.h>
+#include <nlohmann/json.hpp>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "node/httpclient.h"
 
@@ -234,7 +236,7 @@
         if (closedHook) {
             auto hook = std::move(closedHook);
             closedHook = nullptr;
-            hook();
+            runCallback("caller has gone", hook);
         }
     }
 };
@@ -777,7 +779,25 @@
     server->exchanges_[id] = std::move(exchange);
 
     parsed.body = takeBody(request);
-    server->handler_(id, std::move(parsed));
+    if (!runCallback("request", [&] { server->handler_(id, std::move(parsed)); }))
+        server->replyFailed(id);
+}
+
+void HttpServer::replyFailed(ExchangeId id)
+{
+    const Exchange *exchange = find(id);
+    if (!exchange || exchange->answered)
+        return;
+    if (exchange->streaming) {
+        freeAbandoned(id); // deferred: evhttp is in the request's callback
+        return;
+    }
+    HttpReply failed;
+    failed.status = 500;
+    failed.body = jsonText({ { "error",
+                               { { "type", "internal_error" },
+                                 { "message", "the request could not be handled" } } } });
+    reply(id, failed);
 }
 
 // evhttp does not read while a request is handled, so that it never sees its caller go. Deferred,
--- a/node/httpserver.h
+++ b/node/httpserver.h
@@ -145,6 +145,8 @@
     void closeSlow();
     void closed(ExchangeId id);
     void freeAbandoned(ExchangeId id);
+    // Answers an exchange whose handler threw an exception.
+    void replyFailed(ExchangeId id);
     Exchange *find(ExchangeId id);
 
     EventLoop &loop_;
--- a/node/operatorfront.cc
+++ b/node/operatorfront.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "node/refusal.h"
 
@@ -263,7 +264,7 @@
 {
     HttpReply reply;
     reply.status = status;
-    reply.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    reply.body = jsonText(body);
     server_->reply(exchange, reply);
 }
 
--- a/node/operatorrollouts.cc
+++ b/node/operatorrollouts.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "node/refusal.h"
 
 namespace bamboogap {
@@ -47,7 +48,7 @@
 HttpReply jsonReply(const json &body)
 {
     HttpReply reply;
-    reply.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    reply.body = jsonText(body);
     return reply;
 }
 
--- a/node/refusal.cc
+++ b/node/refusal.cc
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
+
 namespace bamboogap {
 
 namespace {
@@ -80,7 +82,7 @@
                                     { "remedy", error.remedy },
                                     { "ran", runStateName(ran) },
                                     { "request_id", requestId } } } };
-    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return jsonText(body);
 }
 
 HttpReply refusal(const Error &error, RunState ran, std::string_view requestId, Duration retryAfter)
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -9,6 +9,7 @@
 #include <kj/debug.h>
 
 #include "base/compress.h"
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "node/convert.h"
 #include "node/rosterwire.h"
@@ -876,7 +877,7 @@
                                   { { "type", errorKindName(error.kind) },
                                     { "message", error.message },
                                     { "remedy", error.remedy } } } };
-    reply(exchange, status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    reply(exchange, status, jsonText(body));
 }
 
 } // namespace bamboogap
--- a/routing/chatrequest.cc
+++ b/routing/chatrequest.cc
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "base/jsontext.h"
 
 namespace bamboogap {
 
@@ -66,8 +67,7 @@
 {
     uint64_t hash = 0;
     for (const json &message : messages) {
-        hash = combineHashes(
-                hash, hashBytes(message.dump(-1, ' ', false, json::error_handler_t::replace)));
+        hash = combineHashes(hash, hashBytes(jsonText(message)));
         if (message.value("role", json()) == "user")
             break;
     }
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -1084,6 +1084,27 @@
     assert statuses() == {200, 401}
 
 
+def ids_that_are_no_text(fleet):
+    """A heartbeat, a departure or an evacuation whose id is not UTF-8 is refused. Such an id used to
+    be told to all nodes, and each report of their status ended one (review/8)."""
+    set_up_endpoints(fleet)
+    body = json.dumps({**fleet.endpoints[0].next_heartbeat(), "address": "127.0.0.1:9"}).encode()
+    for method, path in ((b"PUT", b"/v1/instances/i-\xff\xfe"),
+                         (b"DELETE", b"/v1/instances/i-\xff\xfe"),
+                         (b"POST", b"/v1/evacuations/dc-\xff")):
+        for node in fleet.replicas:
+            with socket.create_connection(node.address("control"), timeout=5) as connection:
+                connection.sendall(b"%s %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
+                                   b"Connection: close\r\n\r\n%s" % (method, path, len(body), body))
+                status = connection.recv(65536).split()[1]
+                assert status == b"400", (method, path, status)
+    time.sleep(1.0)  # until routers have the replicas' news
+    for node in fleet.replicas + fleet.routers:
+        assert node.status()["name"] == node.name
+        assert node.alive(), f"{node.name} has ended"
+    assert fleet.send_request("/read/1")[0] == 200
+
+
 def quarantine_outlives_restarts(fleet):
     """A quarantined request stays so while replicas and then all nodes restart."""
     set_up_endpoints(fleet)
