--- a/control/testing/cluster.h
+++ b/control/testing/cluster.h
@@ -226,6 +226,14 @@
             cutLink(other, i);
         }
     }
+    // Ends what isolate() did, except towards nodes that are isolated still.
+    void reconnect(size_t i, const std::set<size_t> &stillIsolated)
+    {
+        std::erase_if(cutLinks_, [&](const auto &link) {
+            const size_t other = link.first == i ? link.second : link.first;
+            return (link.first == i || link.second == i) && stillIsolated.count(other) == 0;
+        });
+    }
     void heal() { cutLinks_.clear(); }
     std::mt19937_64 &random() { return random_; }
 
--- a/control/testing/replacement_test.cc
+++ b/control/testing/replacement_test.cc
@@ -1,6 +1,6 @@
-// Random schedules of lost replicas at the highest rate that a group of five voters has to
-// tolerate: at most two of them are lost at any time, and a lost one counts until it, or its
-// successor, has been up for the catch-up time.
+// Random schedules of lost replicas at the highest rate that a group has to tolerate: a minority of
+// its voters is lost at any time, and a lost one counts until it, or its successor, has been up for
+// the catch-up time.
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -13,18 +13,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr size_t kVoters = 5;
-constexpr size_t kMaxLost = 2;
 constexpr Duration kCatchUp = seconds(4);
 constexpr Duration kRecovery = seconds(12); // without a leader
 constexpr Duration kOrderInterval = seconds(2);
 constexpr size_t kDocumentBytes = 29000;
 constexpr double kLinkBytesPerSecond = 750e3;
 
-// A machine that is down or frozen, until it or its successor starts.
+// A machine that is down, frozen or cut off, until it or its successor is up.
 struct Outage
 {
-    enum class End : uint8_t { Restart, RestartEmpty, Thaw, Successor };
+    enum class End : uint8_t { Restart, RestartEmpty, Thaw, Reconnect, Successor };
     size_t node = 0;
     End end = End::Successor;
     Instant endsAt;
@@ -33,12 +31,15 @@
 class History
 {
 public:
-    History(uint64_t seed, size_t machines)
+    // `machines` may be more than the voters; the others are learners.
+    History(uint64_t seed, size_t voters, size_t machines)
         : cluster_(machines, seed)
+        , voters_(voters)
+        , maxLost_((voters - 1) / 2)
     {
         cluster_.timing.electionMin = milliseconds(300);
         cluster_.timing.electionMax = milliseconds(600);
-        cluster_.membershipPolicy = selfManagedPolicy(kVoters, cluster_.timing);
+        cluster_.membershipPolicy = selfManagedPolicy(voters, cluster_.timing);
         cluster_.inFlightBytes = 37500; // 50 ms on the link, as in the daemon
         cluster_.snapshotEvery = 20;
         for (size_t i = 0; i < machines; ++i)
@@ -48,7 +49,7 @@
     void form()
     {
         Founding founding;
-        for (size_t i = 0; i < kVoters; ++i) {
+        for (size_t i = 0; i < voters_; ++i) {
             const auto &node = *cluster_.nodes[i];
             founding.members.members.push_back({ node.raft->id(), node.name, "", true });
         }
@@ -65,10 +66,10 @@
     void play(size_t events)
     {
         for (size_t event = 0; event < events; ++event) {
-            runUntil([this] { return lostCount() < kMaxLost; });
+            runUntil([this] { return lostCount() < maxLost_; });
             if (percent(30))
                 runFor(randomDuration(seconds(3)));
-            if (lostCount() < kMaxLost)
+            if (lostCount() < maxLost_)
                 takeAway();
         }
         runUntil([this] { return outages_.empty() && lostCount() == 0; });
@@ -82,7 +83,7 @@
         RC_ASSERT(leader.has_value());
         const Raft &raft = *cluster_.nodes[*leader]->raft;
         RC_ASSERT(raft.membershipCommitted());
-        RC_ASSERT(raft.membership().voterCount() == kVoters);
+        RC_ASSERT(raft.membership().voterCount() == voters_);
         std::set<ReplicaId> up;
         for (size_t i = 0; i < cluster_.nodes.size(); ++i) {
             if (cluster_.isUp(i))
@@ -124,10 +125,20 @@
         return outages_.size() + catching;
     }
 
+    std::set<size_t> isolated() const
+    {
+        std::set<size_t> nodes;
+        for (const Outage &outage : outages_) {
+            if (outage.end == Outage::End::Reconnect)
+                nodes.insert(outage.node);
+        }
+        return nodes;
+    }
+
     bool isLost(size_t i) const
     {
         const auto started = startedAt_.find(i);
-        return !cluster_.isUp(i)
+        return !cluster_.isUp(i) || isolated().count(i) > 0
                 || (started != startedAt_.end() && cluster_.now - started->second < kCatchUp);
     }
 
@@ -145,13 +156,18 @@
         const Outage::End end = kind < 60 ? Outage::End::Successor
                 : kind < 70               ? Outage::End::RestartEmpty
                 : kind < 80               ? Outage::End::Restart
+                : kind < 90               ? Outage::End::Reconnect
                                           : Outage::End::Thaw;
+        const bool stays = end == Outage::End::Thaw || end == Outage::End::Reconnect;
         if (end == Outage::End::Thaw)
             cluster_.nodes[victim]->frozen = true;
+        else if (end == Outage::End::Reconnect)
+            cluster_.isolate(victim);
         else
             cluster_.kill(victim);
-        std::erase_if(open_, [&](const Proposal &item) { return item.node == victim; });
-        const Duration longest = end == Outage::End::Thaw ? seconds(6) : seconds(3);
+        if (!stays)
+            std::erase_if(open_, [&](const Proposal &item) { return item.node == victim; });
+        const Duration longest = stays ? seconds(6) : seconds(3);
         outages_.push_back({ victim, end, cluster_.now + randomDuration(longest) });
     }
 
@@ -168,6 +184,10 @@
             switch (outage.end) {
             case Outage::End::Successor:
                 started = cluster_.addNode();
+                for (const size_t other : isolated()) {
+                    cluster_.cutLink(started, other);
+                    cluster_.cutLink(other, started);
+                }
                 break;
             case Outage::End::RestartEmpty:
                 cluster_.nodes[started]->disk.wipe();
@@ -179,6 +199,9 @@
             case Outage::End::Thaw:
                 cluster_.unfreeze(started);
                 break;
+            case Outage::End::Reconnect:
+                cluster_.reconnect(started, isolated());
+                break;
             }
             startedAt_[started] = cluster_.now;
         }
@@ -244,6 +267,8 @@
     }
 
     Cluster cluster_;
+    size_t voters_;
+    size_t maxLost_;
     std::vector<Outage> outages_;
     std::map<size_t, Instant> startedAt_; // of machines that came back, and of successors
     std::vector<Proposal> open_;
@@ -259,12 +284,14 @@
 TEST_CASE("a group outlives replacements at the highest rate that it has to tolerate",
           "[raft][fuzz][promise-9]")
 {
-    rc::prop("five voters are up at the end", [](uint64_t seed) {
-        History history(seed, kVoters + seed % 3);
-        history.form();
-        history.play(15);
-        history.checkRecovered();
-    });
+    for (const size_t voters : { 3, 5, 7 }) {
+        rc::prop(std::to_string(voters) + " voters are up at the end", [voters](uint64_t seed) {
+            History history(seed, voters, voters + seed % 3);
+            history.form();
+            history.play(15);
+            history.checkRecovered();
+        });
+    }
 }
 
 } // namespace
