--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -215,6 +215,7 @@
             roles = tomllib.load(file)["roles"]
         self.roles = {role["on"]: dict(role, name=name) for name, role in roles.items()}
         self.stopped = threading.Event()
+        self.start_lock = threading.Lock()
         net = None
         for _ in range(200):
             net = f"127.{random.randrange(60, 250)}.{random.randrange(1, 250)}"
@@ -289,8 +290,38 @@
             time.sleep(0.2)
         raise RuntimeError("the routers do not know all servers")
 
+    def keep_to_memory(self):
+        """As the platform does: kills a process that uses more than memoryMb, and starts each
+        process again that has ended. Ends are counted by machine in `ends`."""
+        self.ends = {machine.name: [] for machine in self.cores + self.edges}
+
+        def keep(machine):
+            while not self.stopped.is_set():
+                used = machine.memory_mb("VmHWM")
+                if not machine.alive():
+                    reason = f"ended by itself with {machine.process.returncode}"
+                elif used > machine.limits["memoryMb"]:
+                    reason = f"used {used:.0f} MB of {machine.limits['memoryMb']}"
+                    machine.kill()
+                else:
+                    self.stopped.wait(0.02)
+                    continue
+                if self.stopped.is_set():
+                    return
+                self.ends[machine.name].append(reason)
+                self.record.show(f"{machine.name}: {reason}, end {len(self.ends[machine.name])}")
+                self.stopped.wait(0.3)
+                with self.start_lock:
+                    if not self.stopped.is_set():
+                        machine.start()
+
+        for machine in self.cores + self.edges:
+            threading.Thread(target=keep, args=(machine,), daemon=True).start()
+
     def stop(self):
         self.stopped.set()
+        with self.start_lock:
+            pass  # no process is started after this
         for server in self.servers:
             server.close()
         for machine in self.cores + self.edges:
@@ -491,9 +522,10 @@
     headers = {"Host": HOST, "X-Attempt-Id": request, "X-Deadline-Ms": str(deadline_ms),
                "Authorization": f"Token {KEY}"}
     if engine:
+        # One of some shared parts, and a part of the request's own.
         headers.update({"X-Model": "m", "X-Token-Usage": "829,294",
-                        "X-Prefix-Hash": prompt or "5c1e07a2:699,%08x:130"
-                        % random.getrandbits(32)})
+                        "X-Prefix-Hash": prompt or "%08x:699,%08x:130"
+                        % (0x5c1e07a2 + random.randrange(40), random.getrandbits(32))})
     return headers
 
 
