--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -261,9 +261,12 @@
         return 0, b""
 
     def install(self, configuration):
+        self.install_within(configuration, 20.0)
+
+    def install_within(self, configuration, limit):
         self.version += 3
         body = json.dumps(dict(configuration, version=self.version)).encode()
-        status, answer = self.order("PUT", "/v1/configuration", body)
+        status, answer = self.order("PUT", "/v1/configuration", body, limit)
         self.record(f"configuration {self.version}: {status}")
         if status != 200:
             raise RuntimeError(f"configuration refused: {status} {answer[:200]}")
