Review: two lost disks take the first acknowledged configuration away (case 15)

Cause: the control group begins with three voters and acknowledges orders that two disks hold until it has grown to five.

--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -117,6 +117,7 @@
         self.ip = ip
         self.process = None
         self.starts = 0
+        self.disks = 1
         self.folder = os.path.join(fleet.folder, name)
         os.makedirs(self.folder)
         self.data = os.path.join(self.folder, "data")
@@ -159,6 +160,12 @@
                                         stderr=subprocess.STDOUT)
         log.close()
 
+    def lose_disk(self):
+        """The machine has an empty disk from its next start on."""
+        self.disks += 1
+        self.data = os.path.join(self.folder, f"data-{self.disks}")
+        os.makedirs(self.data)
+
     def alive(self):
         return self.process is not None and self.process.poll() is None
 
