Review: the stand-ins record runs and orders, and state the machine's memory

On the platform a process reads its machine's memory from the system; on this machine the setting of the same meaning has to say it, or the budgets for bodies and heads follow the real machine.

--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -148,6 +148,9 @@
         settings = os.path.join(self.folder, "settings.yaml")
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as template:
             text = render(template.read(), fields)
+        # The platform's machines report their own memory (DEPLOY.md: sysinfo, /proc/meminfo). This
+        # one reports more, so the setting of the same meaning says it.
+        text = text.replace("\nlisten:", f"\n  memory_mb: {self.limits['memoryMb']}\nlisten:", 1)
         with open(settings, "w", encoding="utf-8") as out:
             out.write(text)
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG")
@@ -262,6 +265,7 @@
                                                body, {"Content-Type": "application/json"})
             except OSError:
                 status, headers, answer = 0, {}, b""
+            self.record(f"{method} {path} to {self.cores[node].name}: {status or 'no answer'}")
             if status and status not in (408, 429) and status < 500:
                 return status, answer
             time.sleep(0.1)
@@ -439,6 +443,7 @@
         with self.lock:
             self.runs.append((request.id, request.path, time.monotonic()))
             self.running += 1
+        self.fleet.record(f"{self.id} of {self.service} runs {request.id}")
         try:
             if self.serve:
                 served = self.serve(self, connection, request)
