--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -17,7 +17,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -60,6 +59,20 @@
         print(text, flush=True)
 
 
+def deployed_roles():
+    """The roles of the deploy file: its texts and lists of texts, which is all that they hold here.
+    (Python has a parser of its own for such files from 3.11 on only.)"""
+    with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
+        text = file.read()
+    roles = []
+    for name, lines in re.findall(r"^\[roles\.([^\]]+)\]\n((?:[^\[\n].*\n?|\n)*)", text, flags=re.M):
+        role = {"name": name}
+        for key, value in re.findall(r'^(\w+) *= *(".*"|\[.*\]) *$', lines, flags=re.M):
+            role[key] = json.loads(value)
+        roles.append(role)
+    return roles
+
+
 def render(text, fields, current=None):
     """The platform's templates, as DEPLOY.md states them, as far as settings.yaml uses them."""
     def look_up(name):
@@ -221,9 +234,7 @@
         self.record = record
         self.scratch = tempfile.TemporaryDirectory(prefix="review3-")
         self.folder = self.scratch.name
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            roles = tomllib.load(file)["roles"]
-        self.roles = {role["on"]: dict(role, name=name) for name, role in roles.items()}
+        self.roles = {role["on"]: role for role in deployed_roles()}
         self.stopped = threading.Event()
         self.start_lock = threading.Lock()
         net = None
@@ -546,6 +557,11 @@
 
 def run_case(folder, body, routers=2, replicas=3):
     """Runs body(fleet, record) and exits with its result; 2 if the case could not run."""
+    def terminate(*_):
+        raise SystemExit(NOT_RUN)  # the processes are ended on the way out
+
+    signal.signal(signal.SIGTERM, terminate)
+    signal.signal(signal.SIGINT, terminate)
     record = Record(folder)
     record.show(f"TROUBLE={'1' if TROUBLE else '0'}")
     fleet = None
