Event loop: measure its turns and name the work of long ones

Cause of the gap: the event loop knew nothing of its own turns.

Change: node/loop/. TurnWatch takes the thread's processor time of each turn and, from RAII scopes around the callbacks of callers, endpoints and timers, the longest piece of work without the work nested in it: its name, the bytes it was given, and the peer that sent them. Turns of 10 ms or more go into the histogram bamboogap_loop_turn_seconds; those of 100 ms or more are logged as loop_stalled, at most one line a second. Timers now have names.

A turn is as long as its processor time, or as its longest piece of work if that waited; time in which the machine runs others is not counted.

--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -106,11 +106,11 @@
 {
     startedAt_ = BootClock::now();
     leaderChangedAt_ = startedAt_;
-    loop_.every(kTick, [this] { tick(); });
-    loop_.every(kCoordinate, [this] { coordinate(); });
-    loop_.every(settings_.heartbeat, [this] { sampleLoads(); });
-    loop_.every(kAskToJoin, [this] { askToJoin(); });
-    loop_.every(kExpire, [this] {
+    loop_.every(kTick, "control group", [this] { tick(); });
+    loop_.every(kCoordinate, "coordinate", [this] { coordinate(); });
+    loop_.every(settings_.heartbeat, "sample loads", [this] { sampleLoads(); });
+    loop_.every(kAskToJoin, "ask to join", [this] { askToJoin(); });
+    loop_.every(kExpire, "expire", [this] {
         const int64_t now = wallClockMillis();
         if (maySpeak() && (state_.calls().hasExpired(now) || state_.suspects().hasExpired(now)))
             loop_.detach(command(ExpireCommand { now }).ignoreResult(), "expire");
--- a/node/daemon.cc
+++ b/node/daemon.cc
@@ -20,6 +20,7 @@
 #include "node/entrytask.h"
 #include "node/eventloop.h"
 #include "node/httpserver.h"
+#include "node/loop/turnreport.h"
 #include "node/membertask.h"
 #include "node/metrics.h"
 #include "node/nodeserver.h"
@@ -112,7 +113,8 @@
                    { "operators", settings_.listen.operators },
                    { "peers", settings_.listen.peers },
                    { "replica", replica_ ? "yes" : "no" } });
-        loop_.every(kFlushLog, [] { flushLog(); });
+        loop_.every(kFlushLog, "flush log", [] { flushLog(); });
+        loop_.setTurnHook([this](const Turn &turn) { turnReport_.add(turn, BootClock::now()); });
         loop_.run(stopped.promise.then([this]() { return stop(); }));
         logEvent(LogLevel::Info, "stopped", {});
         flushLog();
@@ -230,6 +232,7 @@
     Settings settings_;
     EventLoop loop_;
     Metrics metrics_;
+    TurnReport turnReport_ { metrics_ };
     Peers peers_;
     HeadBudget heads_ { settings_.http.headMemoryBytes > 0 ? settings_.http.headMemoryBytes
                                                            : headLimit(settings_.memoryBytes()) };
--- a/node/directdaemon.cc
+++ b/node/directdaemon.cc
@@ -20,6 +20,7 @@
 #include "node/convert.h"
 #include "node/directrouter.h"
 #include "node/httpserver.h"
+#include "node/loop/turnreport.h"
 #include "node/metrics.h"
 #include "node/operatorrollouts.h"
 #include "node/refusal.h"
@@ -114,12 +115,13 @@
         stopAsked_ = kj::mv(stopped.fulfiller);
         watchSignals();
         settingsTime_ = settingsTime();
-        loop_.every(kFlushLog, [] { flushLog(); });
-        loop_.every(kWatchSettings, [this] { watchSettings(); });
+        loop_.every(kFlushLog, "flush log", [] { flushLog(); });
+        loop_.setTurnHook([this](const Turn &turn) { turnReport_.add(turn, BootClock::now()); });
+        loop_.every(kWatchSettings, "watch settings", [this] { watchSettings(); });
         if (replica_) {
             replica_->start();
             front_->start();
-            loop_.every(kProbeDisk, [this] { probeDisk(); });
+            loop_.every(kProbeDisk, "probe disk", [this] { probeDisk(); });
         }
         if (router_) {
             router_->start();
@@ -534,6 +536,7 @@
     Dialect dialect_;
     EventLoop loop_;
     Metrics metrics_;
+    TurnReport turnReport_ { metrics_ };
     Peers peers_;
     HeadBudget heads_ { settings_.http.headMemoryBytes > 0 ? settings_.http.headMemoryBytes
                                                            : headLimit(settings_.memoryBytes()) };
--- a/node/directrouter.cc
+++ b/node/directrouter.cc
@@ -83,8 +83,8 @@
 void DirectRouter::start()
 {
     startedAt_ = BootClock::now();
-    loop_.every(kTick, [this] { placeWaiting(); });
-    loop_.every(kCloseIdle, [this] {
+    loop_.every(kTick, "place waiting requests", [this] { placeWaiting(); });
+    loop_.every(kCloseIdle, "close idle connections", [this] {
         pool_.closeIdle();
         const Instant now = BootClock::now();
         sync_->roster().tick(now);
--- a/node/endpointcall.cc
+++ b/node/endpointcall.cc
@@ -197,6 +197,7 @@
         unhandledBytes_ -= data.size();
         if (unhandledBytes_ <= kUnhandledBytes / 2 && !done_ && connection_)
             bufferevent_enable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+        const WorkScope scope({ "answer data", data.size(), [this] { return request_.address; } });
         auto handled = onData_(data);
         return handled.attach(kj::heap<std::string>(std::move(data))).then([this]() {
             return pump();
--- a/node/endpointpool.cc
+++ b/node/endpointpool.cc
@@ -129,7 +129,9 @@
     call->mayKeep = !connection || evutil_ascii_strcasecmp(connection, "close") != 0;
     call->headSeen = true;
     bool isWanted = false;
-    runCallback("answer head", [&] { isWanted = call->hooks.onHead(status, headers); });
+    const auto source = [address = call->connection->address] { return address; };
+    runCallback({ "answer head", 0, source },
+                [&] { isWanted = call->hooks.onHead(status, headers); });
     if (isWanted)
         return 0;
     call->reason = "answer refused";
@@ -146,7 +148,9 @@
         return;
     call->received += size;
     const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
-    runCallback("answer data", [&] { call->hooks.onData({ bytes, size }); });
+    // The hook may end the call.
+    const auto source = [address = call->connection->address] { return address; };
+    runCallback({ "answer data", size, source }, [&] { call->hooks.onData({ bytes, size }); });
     evbuffer_drain(input, size);
 }
 
@@ -426,7 +430,7 @@
             retire(std::move(call->connection));
         }
     }
-    runCallback("answer end", [&] { call->hooks.onEnd(end, reason); });
+    runCallback({ "answer end" }, [&] { call->hooks.onEnd(end, reason); });
 }
 
 void EndpointPool::retire(std::unique_ptr<Connection> connection)
--- a/node/eventloop.cc
+++ b/node/eventloop.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <csignal>
 #include <cstring>
+#include <ctime>
 #include <netinet/tcp.h>
 
 #include <event2/buffer.h>
@@ -293,25 +294,27 @@
 class EventLoop::Port final : public kj::EventPort
 {
 public:
-    explicit Port(event_base *base)
-        : base_(base)
+    explicit Port(EventLoop &loop)
+        : loop_(loop)
     {
     }
 
     bool wait() override
     {
-        event_base_loop(base_, EVLOOP_ONCE);
+        loop_.endTurn();
+        event_base_loop(loop_.base_, EVLOOP_ONCE);
         return false;
     }
 
     bool poll() override
     {
-        event_base_loop(base_, EVLOOP_NONBLOCK);
+        loop_.endTurn();
+        event_base_loop(loop_.base_, EVLOOP_NONBLOCK);
         return false;
     }
 
 private:
-    event_base *base_;
+    EventLoop &loop_;
 };
 
 class EventLoop::Failures final : public kj::TaskSet::ErrorHandler
@@ -324,27 +327,49 @@
     }
 };
 
+namespace {
+
+Duration threadProcessorTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
 EventLoop::EventLoop()
     : base_(event_base_new())
-    , port_(std::make_unique<Port>(base_))
+    , port_(std::make_unique<Port>(*this))
     , loop_(std::make_unique<kj::EventLoop>(*port_))
     , waitScope_(std::make_unique<kj::WaitScope>(*loop_))
     , failures_(std::make_unique<Failures>())
     , tasks_(std::make_unique<kj::TaskSet>(*failures_))
 {
     std::signal(SIGPIPE, SIG_IGN);
+    detail::threadTurnWatch() = &watch_;
 }
 
 EventLoop::~EventLoop()
 {
+    if (detail::threadTurnWatch() == &watch_)
+        detail::threadTurnWatch() = nullptr;
     tasks_.reset();
     waitScope_.reset();
     loop_.reset();
     event_base_free(base_);
 }
 
+void EventLoop::endTurn()
+{
+    const Turn turn = watch_.end(threadProcessorTime());
+    if (turnHook_ && turn.duration >= kReportedTurn)
+        turnHook_(turn);
+}
+
 void EventLoop::run(kj::Promise<void> until)
 {
+    watch_.end(threadProcessorTime()); // what came before the loop is no turn
     until.wait(*waitScope_);
 }
 
@@ -362,11 +387,11 @@
     }));
 }
 
-void EventLoop::every(Duration interval, std::function<void()> hook)
+void EventLoop::every(Duration interval, std::string_view name, std::function<void()> hook)
 {
-    tasks_->add(sleep(interval).then([this, interval, hook = std::move(hook)]() mutable {
-        runCallback("every", hook);
-        every(interval, std::move(hook));
+    tasks_->add(sleep(interval).then([this, interval, name, hook = std::move(hook)]() mutable {
+        runCallback({ name }, hook);
+        every(interval, name, std::move(hook));
     }));
 }
 
@@ -426,11 +451,13 @@
     return { micros / 1000000, micros % 1000000 };
 }
 
-bool runCallback(std::string_view what, const std::function<void()> &callback)
+bool runCallback(Work what, const std::function<void()> &callback)
 {
+    const std::string_view name = what.name;
+    const WorkScope scope(std::move(what));
     KJ_IF_MAYBE (exception, kj::runCatchingExceptions([&callback] { callback(); })) {
         logEvent(LogLevel::Error, "callback_failed",
-                 { { "callback", std::string(what) },
+                 { { "callback", std::string(name) },
                    { "problem", std::string(exception->getDescription().cStr()) } });
         return false;
     }
@@ -443,6 +470,17 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+std::string peerAddress(evutil_socket_t socket)
+{
+    sockaddr_in peer {};
+    socklen_t size = sizeof peer;
+    char host[INET_ADDRSTRLEN] = {};
+    if (getpeername(socket, reinterpret_cast<sockaddr *>(&peer), &size) != 0
+        || peer.sin_family != AF_INET || !inet_ntop(AF_INET, &peer.sin_addr, host, sizeof host))
+        return {};
+    return fmt::format("{}:{}", host, ntohs(peer.sin_port));
+}
+
 bool isEstablished(evutil_socket_t socket)
 {
     tcp_info info {};
--- a/node/eventloop.h
+++ b/node/eventloop.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <event2/event.h>
 #include <kj/async-io.h>
@@ -18,6 +19,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "node/loop/turnwatch.h"
 
 namespace bamboogap {
 
@@ -39,8 +41,14 @@
     // Runs a promise to its end; a failure is logged with the given name.
     void detach(kj::Promise<void> promise, std::string what);
 
-    // Calls the hook again and again, `interval` after it returned.
-    void every(Duration interval, std::function<void()> hook);
+    using TurnHook = std::function<void(const Turn &)>;
+    // Called after each turn that took kReportedTurn or more, before the loop waits again.
+    static constexpr Duration kReportedTurn = std::chrono::milliseconds(10);
+    void setTurnHook(TurnHook hook) { turnHook_ = std::move(hook); }
+
+    // Calls the hook again and again, `interval` after it returned. Long turns name it by `name`, a
+    // literal.
+    void every(Duration interval, std::string_view name, std::function<void()> hook);
 
     // Rejects with a timeout if the promise takes longer.
     template<typename T> kj::Promise<T> within(Duration limit, kj::Promise<T> promise) const
@@ -54,7 +62,11 @@
     class Port;
     class Failures;
 
+    void endTurn();
+
     event_base *base_;
+    TurnWatch watch_;
+    TurnHook turnHook_;
     std::unique_ptr<Port> port_;
     std::unique_ptr<kj::EventLoop> loop_;
     std::unique_ptr<kj::WaitScope> waitScope_;
@@ -89,13 +101,16 @@
 
 // Runs what a C library calls back for: no exception may pass through the library. False if one
 // was thrown; it is logged as callback_failed.
-bool runCallback(std::string_view what, const std::function<void()> &callback);
+bool runCallback(Work what, const std::function<void()> &callback);
 
 // For libevent; a negative duration becomes 0.
 timeval toTimeval(Duration duration);
 
 void setNoDelay(evutil_socket_t socket);
 
+// The other end of a connected socket as "ip:port"; empty if it has none.
+std::string peerAddress(evutil_socket_t socket);
+
 // Whether a TCP connection stands in both directions: false while connecting, and once either side
 // has closed or reset it.
 bool isEstablished(evutil_socket_t socket);
--- a/node/httpclient.cc
+++ b/node/httpclient.cc
@@ -5,6 +5,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include "node/eventloop.h"
+
 namespace bamboogap {
 
 evhttp_cmd_type methodType(std::string_view method)
@@ -46,6 +48,9 @@
                 auto *watching = static_cast<AnswerWatch *>(context);
                 if (info->n_added == 0)
                     return;
+                const evutil_socket_t socket = bufferevent_getfd(watching->buffered);
+                const WorkScope scope({ "bytes of an endpoint", info->n_added,
+                                        [socket] { return peerAddress(socket); } });
                 watching->framing.feed(tail(input, info->n_added));
                 if (!watching->framing.isMalformed())
                     return;
--- a/node/httpserver.cc
+++ b/node/httpserver.cc
@@ -236,7 +236,7 @@
         if (closedHook) {
             auto hook = std::move(closedHook);
             closedHook = nullptr;
-            runCallback("caller has gone", hook);
+            runCallback({ "caller has gone" }, hook);
         }
     }
 };
@@ -283,6 +283,9 @@
         if (info->n_added == 0)
             return;
         if (!watch->discards) {
+            const evutil_socket_t socket = bufferevent_getfd(watch->buffered);
+            const WorkScope scope({ "bytes of a caller", info->n_added,
+                                    [socket] { return peerAddress(socket); } });
             watch->framing.feed(tail(input, info->n_added));
             watch->server->onBytes(watch->buffered);
         }
@@ -779,7 +782,8 @@
     server->exchanges_[id] = std::move(exchange);
 
     parsed.body = takeBody(request);
-    if (!runCallback("request", [&] { server->handler_(id, std::move(parsed)); }))
+    const Work work { "request", parsed.body.size(), [socket] { return peerAddress(socket); } };
+    if (!runCallback(work, [&] { server->handler_(id, std::move(parsed)); }))
         server->replyFailed(id);
 }
 
--- a/node/membertask.cc
+++ b/node/membertask.cc
@@ -31,7 +31,7 @@
     news_ = std::move(news);
     beatSoon();
     // Mostly the leader's samples set the pace; this is for when they do not come.
-    loop_.every(interval_ / 2, [this] {
+    loop_.every(interval_ / 2, "member", [this] {
         if (BootClock::now() - lastBeat_ >= interval_)
             beat();
     });
--- a/node/ownertask.cc
+++ b/node/ownertask.cc
@@ -80,7 +80,7 @@
 void OwnerTask::start()
 {
     // Ramps and backoffs end without news, so waiting work is looked at often.
-    loop_.every(std::chrono::milliseconds(50), [this] {
+    loop_.every(std::chrono::milliseconds(50), "owner", [this] {
         if (admission_.waitingCount() > 0)
             advance();
     });
--- a/node/replicafront.cc
+++ b/node/replicafront.cc
@@ -242,11 +242,11 @@
                         [this] { noteDeployment(); }, [this] { rollouts_.logChanges(); } });
     noteDeployment();
     rollouts_.begin();
-    loop_.every(PauseWatch::kTick, [this] { pauses_.tick(BootClock::now()); });
-    loop_.every(kReportTraffic, [this] { traffic_.report(); });
-    loop_.every(kShareGroup, [this] { shareGroup(); });
-    loop_.every(kShareRoster, [this] { shareRoster(); });
-    loop_.every(kTick, [this] {
+    loop_.every(PauseWatch::kTick, "watch pauses", [this] { pauses_.tick(BootClock::now()); });
+    loop_.every(kReportTraffic, "report traffic", [this] { traffic_.report(); });
+    loop_.every(kShareGroup, "share group", [this] { shareGroup(); });
+    loop_.every(kShareRoster, "share roster", [this] { shareRoster(); });
+    loop_.every(kTick, "replica front", [this] {
         const Instant now = BootClock::now();
         roster_.tick(now);
         routers_.removeExpired(now);
--- a/node/rollout/replicarollouts.cc
+++ b/node/rollout/replicarollouts.cc
@@ -46,7 +46,8 @@
     hooks.wallMillis = wallClockMillis;
     rolloutController_
             = std::make_unique<RolloutController>(routers_, bounds, metrics_, std::move(hooks));
-    loop_.every(RolloutController::kTick, [this] { rolloutController_->tick(BootClock::now()); });
+    loop_.every(RolloutController::kTick, "rollouts",
+                [this] { rolloutController_->tick(BootClock::now()); });
 }
 
 } // namespace bamboogap
--- a/node/testing/httpserver_test.cc
+++ b/node/testing/httpserver_test.cc
@@ -93,7 +93,7 @@
     EventLoop loop;
     int calls = 0;
     auto done = kj::newPromiseAndFulfiller<void>();
-    loop.every(std::chrono::milliseconds(1), [&] {
+    loop.every(std::chrono::milliseconds(1), "test", [&] {
         if (++calls == 3)
             done.fulfiller->fulfill();
         throw std::runtime_error("the task failed");
