Event streams: read each byte once, and take only data for an event

Cause: EventStream::feed() looked for the next end of an event in two forms, LF LF and CR LF CR LF, and for a form that does not occur it searched to the end of the piece, anew for each event. n bytes with k events cost k times n, on the one thread of the event loop.

Change: one pass, whatever the bytes are and however they are cut, so that the work is in proportion to the bytes. Line ends are LF, CR LF or CR, as the format says, also mixed. A block is an event if it has a data field. Line ends, comments and ids alone no longer count as a first token, as a sign of life or as the begin of an answer that may not be repeated; before the first event they are kept and go on with it.

Ruled out for the same cause, by reading: the framings of heads, chunks and lines, DirectRouter::hold(), evhttp's search for line ends within our limits.

--- a/node/directanswer.cc
+++ b/node/directanswer.cc
@@ -182,11 +182,14 @@
         hold(active, data);
         return;
     }
-    const std::string events = active.events.feed(data);
-    if (!events.empty())
-        relay(active, events);
+    const size_t eventsBefore = active.events.events();
+    const std::string complete = active.events.feed(data);
+    if (active.events.events() > eventsBefore)
+        noteEvents(active);
+    if (!complete.empty())
+        relay(active, complete);
     if (active.events.overlong())
-        breakOff(id, active.call, "an event without end");
+        breakOff(id, active.call, "too many bytes without an event");
 }
 
 // Answers that are not streamed go on when they are whole. Beyond the bound for all of
@@ -245,7 +248,9 @@
                  "caller takes its stream");
 }
 
-void DirectRouter::relay(Active &active, std::string_view events)
+// Only events show that the endpoint works on the request; line ends and comments may come from one
+// that does not.
+void DirectRouter::noteEvents(Active &active)
 {
     const Instant now = BootClock::now();
     active.lastEventAt = now;
@@ -257,7 +262,14 @@
         sync_->rollouts().onFirstByte(active.rolloutAttempt, now - active.sentAt);
         sync_->roster().recordResponse(active.endpointId, now);
     }
+    if (mayRunAgain(active))
+        armTimer(active, attemptLimit(active));
+}
+
+void DirectRouter::relay(Active &active, std::string_view complete)
+{
     if (!active.streaming) {
+        const Instant now = BootClock::now();
         active.streaming = true;
         active.firstEventAt = now;
         metrics_.observe("bamboogap_first_event_seconds", {}, now - active.arrivedAt);
@@ -266,11 +278,9 @@
             headers.push_back({ "Connection", "close" });
         server_->startStream(active.id, active.status, {}, headers);
     }
-    auto taken = server_->chunk(active.id, events);
+    auto taken = server_->chunk(active.id, complete);
     if (server_->isBehind(active.id))
         pauseForCaller(active, kj::mv(taken));
-    if (mayRunAgain(active))
-        armTimer(active, attemptLimit(active));
 }
 
 void DirectRouter::onEnd(ExchangeId id, CallEnd end, std::string_view reason)
--- a/node/directrouter.h
+++ b/node/directrouter.h
@@ -109,7 +109,8 @@
     void onTimer(ExchangeId id);
     void onCallerGone(ExchangeId id);
 
-    void relay(Active &active, std::string_view events);
+    void noteEvents(Active &active);
+    void relay(Active &active, std::string_view complete);
     void finishWhole(Active &active);
     void tryAgain(Active &active, Outcome outcome, std::string_view reason);
     bool takeRetry(const Active &active, Instant now);
--- a/routing/eventstream.cc
+++ b/routing/eventstream.cc
@@ -1,64 +1,115 @@
-// Events are separated by an empty line, with LF or CRLF line ends.
-
 #include "routing/eventstream.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboogap {
 
 namespace {
 
-constexpr std::string_view kFinalEvent = "data: [DONE]";
+constexpr std::string_view kByteOrderMark = "\xef\xbb\xbf";
+constexpr std::string_view kDataField = "data";
+constexpr std::string_view kIdField = "id";
+constexpr std::string_view kFinalData = "[DONE]";
 
-constexpr std::string_view kIdField = "id:";
+// Whether a line holds the field; its value then begins after the colon and one space.
+bool hasField(std::string_view line, std::string_view field)
+{
+    return line.starts_with(field) && (line.size() == field.size() || line[field.size()] == ':');
+}
 
-// The value of an event's id field; empty if it has none.
-std::string_view eventId(std::string_view event)
+std::string_view valueOf(std::string_view line, std::string_view field)
 {
-    while (!event.empty()) {
-        const size_t end = std::min(event.find('\n'), event.size());
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
-        if (line.substr(0, kIdField.size()) != kIdField)
-            continue;
-        line.remove_prefix(kIdField.size());
-        if (!line.empty() && line.front() == ' ')
-            line.remove_prefix(1);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
-        return line;
-    }
-    return {};
+    if (line.size() == field.size())
+        return {};
+    line.remove_prefix(field.size() + 1);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    return line;
 }
 
 } // namespace
 
 std::string EventStream::feed(std::string_view data)
 {
-    constexpr size_t kMaxTerminatorBytes = 4; // of an event; may arrive in several pieces
-    size_t from = partial_.size() - std::min(partial_.size(), kMaxTerminatorBytes - 1);
-    partial_ += data;
-    std::string whole;
-    size_t begin = 0;
-    while (true) {
-        const size_t lineFeeds = partial_.find("\n\n", from);
-        const size_t carriageReturns = partial_.find("\r\n\r\n", from);
-        const bool crlf = carriageReturns < lineFeeds;
-        const size_t end = crlf ? carriageReturns : lineFeeds;
-        if (end == std::string::npos)
+    pending_ += data;
+    bytesWithoutEvent_ += data.size();
+    while (scanned_ < pending_.size()) {
+        if (std::exchange(afterReturn_, false) && pending_[scanned_] == '\n') {
+            // A block that ended with the CR ends with its LF.
+            if (blockEnd_ == scanned_)
+                ++blockEnd_;
+            lineBegin_ = ++scanned_;
+            continue;
+        }
+        const auto lineEnd = std::find_if(pending_.begin() + ptrdiff_t(scanned_), pending_.end(),
+                                          [](char byte) { return byte == '\n' || byte == '\r'; });
+        const size_t end = lineEnd - pending_.begin();
+        if (end == pending_.size()) {
+            scanned_ = end;
             break;
-        const std::string_view event = std::string_view(partial_).substr(begin, end - begin);
-        finished_ = finished_ || event.substr(0, kFinalEvent.size()) == kFinalEvent;
-        if (const std::string_view id = eventId(event); !id.empty())
-            lastId_ = id;
+        }
+        const std::string_view line
+                = std::string_view(pending_).substr(lineBegin_, end - lineBegin_);
+        afterReturn_ = pending_[end] == '\r';
+        scanned_ = end + 1;
+        lineBegin_ = scanned_;
+        if (line.empty())
+            endBlock();
+        else
+            takeLine(line);
+    }
+    if (events_ == 0)
+        return {};
+    std::string complete = pending_.substr(0, blockEnd_);
+    pending_.erase(0, blockEnd_);
+    scanned_ -= blockEnd_;
+    lineBegin_ -= blockEnd_;
+    blockEnd_ = 0;
+    return complete;
+}
+
+void EventStream::takeLine(std::string_view line)
+{
+    if (std::exchange(isFirstLine_, false) && line.starts_with(kByteOrderMark))
+        line.remove_prefix(kByteOrderMark.size());
+    if (hasField(line, kDataField)) {
+        hasData_ = true;
+        isFinal_ = isFinal_ || valueOf(line, kDataField) == kFinalData;
+    } else if (hasField(line, kIdField)) {
+        // An empty id would have a stream resumed from its begin.
+        if (const std::string_view id = valueOf(line, kIdField); !id.empty())
+            id_ = id;
+    }
+}
+
+void EventStream::endBlock()
+{
+    isFirstLine_ = false;
+    blockEnd_ = scanned_;
+    if (!id_.empty())
+        lastId_ = std::exchange(id_, {});
+    if (std::exchange(hasData_, false)) {
         ++events_;
-        const size_t next = end + (crlf ? 4 : 2);
-        whole += std::string_view(partial_).substr(begin, next - begin);
-        begin = next;
-        from = next;
+        bytesWithoutEvent_ = pending_.size() - scanned_;
     }
-    partial_.erase(0, begin);
-    return whole;
+    finished_ = std::exchange(isFinal_, false) || finished_;
+}
+
+void EventStream::dropPartial()
+{
+    if (events_ == 0)
+        lastId_.clear();
+    pending_.clear();
+    scanned_ = 0;
+    lineBegin_ = 0;
+    blockEnd_ = 0;
+    afterReturn_ = false;
+    isFirstLine_ = true;
+    hasData_ = false;
+    isFinal_ = false;
+    id_.clear();
+    bytesWithoutEvent_ = 0;
 }
 
 } // namespace bamboogap
--- a/testing/endless_test.py
+++ b/testing/endless_test.py
@@ -6,6 +6,7 @@
 correct status to the caller, and serve other requests meanwhile.
 """
 
+import http.client
 import socket
 import threading
 import time
@@ -110,6 +111,69 @@
         assert peak_bytes(router) < MAX_MEMORY_BYTES, (name, peak_bytes(router))
 
 
+CHUNK_BYTES = 240 << 10  # nearly what a router buffers of an answer before it parses it
+
+
+def chunk_of(unit):
+    body = unit * (CHUNK_BYTES // len(unit))
+    return b"%x\r\n" % len(body) + body + b"\r\n"
+
+
+# What an engine repeats in the body of a stream, after a first event where that is said.
+STREAM_UNITS = {
+    "CR LF": (b"", b"\r\n"),
+    "LF and CR LF": (b"", b"\n\r\n"),
+    "CR": (b"", b"\r"),
+    "event, then CR LF": (b"id: 1\ndata: token 1\n\n", b"\r\n"),
+    "comments": (b"", b": ping\r\n\r\n"),
+    "short events": (b"", b"data: 1\r\n\r\n"),
+}
+MAX_ORDER_SECONDS = 1.0
+STREAM_DEADLINE_MS = 3000
+
+
+# Guards against review/12: one stream of line ends stopped the router that read it for 20 s.
+def endless_line_ends(fleet):
+    """Streams whose bodies are tiny pieces without end: the router serves other requests meanwhile,
+    and ends the streams."""
+    set_up_endpoints(fleet)
+    router = fleet.routers[0]
+    for name, (first, unit) in STREAM_UNITS.items():
+        stopped = threading.Event()
+        head = CHUNKED + (b"%x\r\n" % len(first) + first + b"\r\n" if first else b"")
+        for endpoint in fleet.endpoints[2:]:
+            endpoint.on_request = send_until_closed(
+                lambda h, r, head=head: response_head(h, r, head), chunk_of(unit), stopped)
+        streams = []
+
+        def read_stream(number, streams=streams):
+            began = time.monotonic()
+            try:
+                status = fleet.send_request(f"/stream/bad{number}", "POST", b"{}",
+                                            X_Deadline_Ms=str(STREAM_DEADLINE_MS))[0]
+            except (OSError, http.client.HTTPException):
+                status = 0  # broken off
+            streams.append((status, round(time.monotonic() - began, 1)))
+
+        threads = [threading.Thread(target=read_stream, args=(number,)) for number in range(2)]
+        for thread in threads:
+            thread.start()
+        orders = []
+        while len(orders) < 10 or any(thread.is_alive() for thread in threads):
+            began = time.monotonic()
+            status = fleet.send_request("/read/1")[0]
+            orders.append((status, time.monotonic() - began))
+            time.sleep(0.1)
+        stopped.set()
+        slowest = max(seconds for _, seconds in orders)
+        print(f"{name}: streams {streams}, slowest of {len(orders)} orders {slowest:.3f} s, "
+              f"peak {peak_bytes(router) >> 20} MB")
+        assert all(status == 200 for status, _ in orders), (name, orders)
+        assert slowest < MAX_ORDER_SECONDS, (name, slowest)
+        assert all(seconds < STREAM_DEADLINE_MS / 1000 + 1 for _, seconds in streams), streams
+        assert router.alive() and peak_bytes(router) < MAX_MEMORY_BYTES, peak_bytes(router)
+
+
 def many_endless_answers(fleet):
     """More concurrent endless responses than fit into memory."""
     set_up_endpoints(fleet)
@@ -348,7 +412,7 @@
         assert node.alive() and peak_bytes(node) < MAX_MEMORY_BYTES
 
 
-CASES = {case.__name__: case for case in (endpoint_answers, many_endless_answers,
+CASES = {case.__name__: case for case in (endpoint_answers, endless_line_ends, many_endless_answers,
                                           many_faulty_endpoints, unread_streams,
                                           abandoned_endless_answers, trickled_stream,
                                           endless_requests)}
