Routers: a replica's reply no longer uses the link that it erased

Cause: onReply() held a reference to the link while it took the reply's list of replicas; a list without the replying replica erases the link. Later look-ups by operator[] made a new one, so that the router went on to report to a replica that no list names, and kept its suspects for good.

Change: the list is read last and nothing uses the link after it. An answer or a failure for a link that is gone is dropped; nothing creates a link by looking it up.

--- a/node/synctask.cc
+++ b/node/synctask.cc
@@ -253,16 +253,17 @@
     loop_.detach(loop_.within(limit, call.send())
                          .then(
                                  [=, this](auto &&response) {
-                                     ReplicaLink &answered = links_[address];
-                                     if (answered.attempt != attempt)
+                                     const auto found = links_.find(address);
+                                     if (found == links_.end() || found->second.attempt != attempt)
                                          return;
+                                     ReplicaLink &answered = found->second;
                                      answered.leavingSent = leavingSent;
                                      answered.evidenceSent = evidenceSent;
                                      answered.livingSent = livingSent;
                                      answered.limitsSent = limitsSent;
                                      answered.placementsSent = placementsSent;
                                      answered.addressToldTo = response.getReply().getRosterEpoch();
-                                     onReply(address, response.getReply());
+                                     onReply(address, answered, response.getReply());
                                  },
                                  [this, address, attempt](kj::Exception &&problem) {
                                      onFailure(address, attempt, problem);
@@ -351,9 +352,10 @@
 
 void SyncTask::onFailure(const std::string &address, uint64_t attempt, const kj::Exception &problem)
 {
-    ReplicaLink &link = links_[address];
-    if (link.attempt != attempt)
+    const auto found = links_.find(address);
+    if (found == links_.end() || found->second.attempt != attempt)
         return;
+    ReplicaLink &link = found->second;
     link.inFlight = false;
     link.retryAfter = std::clamp(link.retryAfter * 2, kRetryFirst, kRetryLongest);
     link.askAgainAt = BootClock::now() + link.retryAfter;
@@ -367,10 +369,9 @@
                { "replicas_left", fmt::to_string(replicasAnswering(BootClock::now())) } });
 }
 
-void SyncTask::onReply(const std::string &address, wire::SyncReply::Reader reply)
+void SyncTask::onReply(const std::string &address, ReplicaLink &link, wire::SyncReply::Reader reply)
 {
     const Instant now = BootClock::now();
-    ReplicaLink &link = links_[address];
     link.inFlight = false;
     link.answeredAt = now;
     link.retryAfter = {};
@@ -415,17 +416,6 @@
                        { "replica", address } });
         }
     }
-    // After a power loss of all, seeds may be the replicas that lost their disks; any
-    // other's old list finds the rest.
-    if (reply.getReplicas().size() > 0 && (reply.getCurrent() || members_.empty())) {
-        std::vector<std::string> members;
-        for (const auto member : reply.getReplicas())
-            members.emplace_back(toView(member));
-        if (members != members_) {
-            members_ = std::move(members);
-            followReplicas();
-        }
-    }
     if (reply.getHasUses() && address == sourceOfOthers_) {
         others_.clear();
         for (const auto &[id, endpoint] : roster_.endpoints())
@@ -440,19 +430,35 @@
     fleet_ = { std::max<uint32_t>(1, reply.getRouters()), reply.getRank() };
     notePosition(reply, link.askedAt);
     if (address == sourceOfOthers_)
-        readLimits(address, reply);
+        readLimits(address, link, reply);
     link.placementsVersion = reply.getPlacementsVersion();
     if (reply.getPlacements().size() > 0)
         hooks_.learn(read(reply.getPlacements()));
-    readSuspects(address, reply);
+    readSuspects(address, link, reply);
     if (!table_ || reply.getRoutesVersion() > table_->version())
         fetchRoutes(address);
+    readReplicas(reply); // may erase the link
     hooks_.changed();
 }
 
-void SyncTask::readSuspects(const std::string &address, wire::SyncReply::Reader reply)
+// After a power loss of all, seeds may be the replicas that lost their disks; any other's old list
+// finds the rest.
+void SyncTask::readReplicas(wire::SyncReply::Reader reply)
+{
+    if (reply.getReplicas().size() == 0 || (!reply.getCurrent() && !members_.empty()))
+        return;
+    std::vector<std::string> members;
+    for (const auto member : reply.getReplicas())
+        members.emplace_back(toView(member));
+    if (members == members_)
+        return;
+    members_ = std::move(members);
+    followReplicas();
+}
+
+void SyncTask::readSuspects(const std::string &address, ReplicaLink &link,
+                            wire::SyncReply::Reader reply)
 {
-    ReplicaLink &link = links_[address];
     link.suspectsVersion = reply.getSuspectsVersion();
     if (reply.getHasSuspects()) {
         std::vector<SuspectRequest> suspects;
@@ -640,9 +646,10 @@
     return changed;
 }
 
-void SyncTask::readLimits(const std::string &address, wire::SyncReply::Reader reply)
+void SyncTask::readLimits(const std::string &address, ReplicaLink &link,
+                          wire::SyncReply::Reader reply)
 {
-    links_[address].limitsVersion = reply.getLimitsVersion();
+    link.limitsVersion = reply.getLimitsVersion();
     for (const LimitObservation &told : read(reply.getLimits(), BootClock::now())) {
         if (!limits_.observe(told))
             continue;
--- a/node/synctask.h
+++ b/node/synctask.h
@@ -157,16 +157,17 @@
     void syncSoon();
     void syncSource();
     void writeEvidence(const ReplicaLink &link, wire::SyncRequest::Builder request) const;
-    void readSuspects(const std::string &address, wire::SyncReply::Reader reply);
+    void readReplicas(wire::SyncReply::Reader reply);
+    void readSuspects(const std::string &address, ReplicaLink &link, wire::SyncReply::Reader reply);
     void writeRollouts(bool isSource, wire::SyncRequest::Builder request) const;
     void readRollouts(const std::string &address, wire::SyncReply::Reader reply, Instant askedAt);
     void confirmRollouts();
-    void readLimits(const std::string &address, wire::SyncReply::Reader reply);
+    void readLimits(const std::string &address, ReplicaLink &link, wire::SyncReply::Reader reply);
     std::string endpointName(EndpointKey key) const;
     void notePosition(wire::SyncReply::Reader reply, Instant askedAt);
     void takePlacements();
     void sync(const std::string &address);
-    void onReply(const std::string &address, wire::SyncReply::Reader reply);
+    void onReply(const std::string &address, ReplicaLink &link, wire::SyncReply::Reader reply);
     void onFailure(const std::string &address, uint64_t attempt, const kj::Exception &problem);
     // One document on its way to this router.
     struct Fetch
--- a/node/testing/peers_test.cc
+++ b/node/testing/peers_test.cc
@@ -1,12 +1,9 @@
 // Connections between processes of the fleet that are lost without a word.
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
 
 #include "node/peers.h"
+#include "node/testing/freeport.h"
 
 namespace bamboogap {
 namespace {
@@ -15,19 +12,6 @@
 
 constexpr Duration kLimit = milliseconds(100);
 
-uint16_t freePort()
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    REQUIRE(bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size) == 0);
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 class AnsweringNode final : public wire::Node::Server
 {
 public:
