Replicas: not current while the log is older than the joining

What routers got: a replica that joins called itself current as soon as it heard a leader, and told the list of replicas, routes and what is out of service from a log that may be old by any time.

Cause: ControlTask::isCurrent() asked only whether a leader was heard from lately; its comment promises a state that lags by a heartbeat at most.

Change: a replica is current only if the members in its own log include it. The leader adds it when it starts to send it the log, so its own entry is among the last that it gets.

--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -126,6 +126,9 @@
 {
     if (failed_ || raft_->leader() == kNoReplica)
         return false;
+    // A log that is older than this replica's joining may be old by any time.
+    if (!raft_->membership().find(raft_->id()))
+        return false;
     return maySpeak()
             || BootClock::now() - raft_->lastLeaderContact() < settings_.timing.electionMin;
 }
