JSON from outside: limits that are checked before values are built

Found on a related path: a chat of 200 KB with 100,000 arrays within each other ends a router of an owners' fleet by a stack overflow, each time.

Cause: json::parse() builds all values before a field is looked at, up to 60 bytes of memory for a byte of text, and serializing calls itself for each level. Only the limit of any body held.

Change: parseJson() checks length, depth and an upper bound on the number of values in one pass without memory. Heartbeats, announcements, rollouts and operators' changes: 256 KiB. Configurations: 32 levels, 1,000,000 keys and values. Chats: 64 levels, 500,000. Beyond: 400 with the limit.

--- a/node/endpointfront.cc
+++ b/node/endpointfront.cc
@@ -4,7 +4,9 @@
 #include "node/endpointfront.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "node/refusal.h"
 
@@ -39,8 +41,8 @@
 
 void EndpointFront::announce(ExchangeId exchange, const HttpRequest &request)
 {
-    const auto body = nlohmann::json::parse(request.body, nullptr, false);
-    const auto announcement = parseAnnouncement(body);
+    const auto body = parseJson(request.body, kSmallJson);
+    const auto announcement = body.and_then(parseAnnouncement);
     if (!announcement) {
         metrics_.count("bamboogap_announcements_refused_total");
         server_->reply(exchange, refusal(announcement.error(), RunState::NotRun, ""));
@@ -54,7 +56,7 @@
         return;
     }
     metrics_.count("bamboogap_announcements_total");
-    const LoadReport load = parseLoadReport(body);
+    const LoadReport load = parseLoadReport(*body);
     metrics_.set("bamboogap_reported_running", fmt::format("endpoint=\"{}\"", announcement->id),
                  load.running);
     members_.hear(*announcement);
--- a/node/operatorfront.cc
+++ b/node/operatorfront.cc
@@ -154,7 +154,7 @@
 
 void OperatorFront::change(ExchangeId exchange, const HttpRequest &request)
 {
-    const auto change = parseChange(json::parse(request.body, nullptr, false));
+    const auto change = parseJson(request.body, kSmallJson).and_then(parseChange);
     if (!change) {
         replyError(exchange, change.error());
         return;
--- a/node/operatorrollouts.cc
+++ b/node/operatorrollouts.cc
@@ -78,7 +78,10 @@
 
 Result<StartRolloutOrder> parseOperatorRollout(std::string_view body)
 {
-    const json value = json::parse(body, nullptr, false);
+    const auto parsed = parseJson(body, kSmallJson);
+    if (!parsed)
+        return invalid("body", parsed.error().message);
+    const json &value = *parsed;
     if (!value.is_object())
         return invalid("body", "must be a JSON object");
     for (const char *field : { "service", "version" }) {
--- a/routing/chatrequest.cc
+++ b/routing/chatrequest.cc
@@ -21,6 +21,8 @@
 using nlohmann::json;
 
 constexpr size_t kMaxNameLength = 200;
+// The bytes of a chat are bounded by the largest body that a node reads.
+constexpr JsonLimits kChatJson { .depth = 64, .values = 500'000 };
 constexpr int64_t kMaxDeadlineMillis = 24LL * 3600 * 1000;
 
 // Longest wait by priority, for requests without a deadline.
@@ -136,7 +138,11 @@
         return tl::unexpected(options.error());
     ChatRequest request;
     request.options = std::move(*options);
-    const json value = json::parse(body, nullptr, false);
+    const auto parsed = parseJson(body, kChatJson);
+    if (!parsed)
+        return failure(ErrorKind::InvalidRequest, "the body " + parsed.error().message,
+                       "send a chat completion request as JSON");
+    const json &value = *parsed;
     if (!value.is_object()) {
         return failure(ErrorKind::InvalidRequest, "the body is not a JSON object",
                        "send a chat completion request as JSON");
--- a/routing/testing/routing_test.cc
+++ b/routing/testing/routing_test.cc
@@ -343,6 +343,22 @@
     CHECK(parseChatRequest(headers, kBody)->chat != first->chat);
 }
 
+// Guards against a chat of 200 KB that ended the router with a stack overflow.
+TEST_CASE("a chat that is nested too deep is refused", "[request]")
+{
+    CallerHeaders headers;
+    headers.workspace = "ws";
+    const auto chat = [](size_t depth) {
+        return R"({"model":"m1","messages":[{"role":"user","content":)" + std::string(depth, '[')
+                + std::string(depth, ']') + "}]}";
+    };
+    CHECK(parseChatRequest(headers, chat(50)));
+    const auto refused = parseChatRequest(headers, chat(100'000));
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().kind == ErrorKind::InvalidRequest);
+    CHECK(refused.error().message == "the body is nested deeper than 64 levels");
+}
+
 TEST_CASE("a bearer token names the workspace", "[request]")
 {
     CallerHeaders headers;
