--- a/control/raft.h
+++ b/control/raft.h
@@ -249,6 +249,9 @@
     bool membershipCommitted() const { return memberships_.rbegin()->first <= commit_; }
     // Highest index known to be stored at a member; 0 if this replica does not lead.
     LogIndex matchIndex(ReplicaId member) const;
+    // Whether a member that was sent a snapshot still needs entries that follow it; false if this
+    // replica does not lead.
+    bool hasMemberCatchingUp() const;
     // Send time of the newest round that a member has acknowledged; the clock's epoch if this
     // replica does not lead.
     Instant lastContact(ReplicaId member) const;
@@ -276,6 +279,7 @@
         uint64_t handledRejectionRound = 0;
         Instant ackedRoundSentAt {}; // send time of the newest acknowledged round
         Instant snapshotSentAt {}; // of the last unacknowledged snapshot
+        bool catchingUp = false; // was sent a snapshot and has not had all committed entries since
     };
 
     Term termAt(LogIndex index) const;
--- a/control/replication.cc
+++ b/control/replication.cc
@@ -102,6 +102,7 @@
             return;
         }
         progress.snapshotSentAt = now;
+        progress.catchingUp = true;
         message.kind = RaftMessageKind::InstallSnapshot;
         message.snapshot = snapshot_;
         send(message);
@@ -206,6 +207,8 @@
         progress.match = message.index;
     if (progress.match >= snapshotIndex_)
         progress.snapshotSentAt = {};
+    if (progress.match >= commit_)
+        progress.catchingUp = false;
     progress.next = std::max(progress.next, progress.match + 1);
     const LogIndex previousCommit = commit_;
     advanceCommit();
@@ -251,6 +254,17 @@
     send(reply);
 }
 
+bool Raft::hasMemberCatchingUp() const
+{
+    if (role_ != RaftRole::Leader)
+        return false;
+    return std::any_of(membership().members.begin(), membership().members.end(),
+                       [this](const Replica &member) {
+                           const auto progress = progress_.find(member.id);
+                           return progress != progress_.end() && progress->second.catchingUp;
+                       });
+}
+
 Snapshot Raft::compact(LogIndex index, std::string snapshotData)
 {
     snapshot_.term = termAt(index);
--- a/control/testing/cluster.h
+++ b/control/testing/cluster.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <vector>
 
+#include "control/compaction.h"
 #include "control/logstore.h"
 #include "control/membership.h"
 #include "control/raft.h"
@@ -33,6 +34,7 @@
         std::unique_ptr<Raft> raft;
         ControlState state;
         LogIndex applied = 0;
+        size_t bytesSinceSnapshot = 0; // of applied entries
         MembershipManager membershipManager;
         double clockRate = 1.0; // relative to simulated time
         bool frozen = false;
@@ -115,6 +117,7 @@
             throw std::runtime_error(opened.error().text());
         node.state = *ControlState::load(opened->stored.snapshot.data, {});
         node.applied = opened->stored.snapshot.index;
+        node.bytesSinceSnapshot = 0;
         node.answers.clear();
         node.membershipManager = MembershipManager(membershipPolicy);
         node.frozen = false;
@@ -274,8 +277,9 @@
                 transmit(i, message);
             for (const LogEntry &entry : output.committed)
                 apply(node, entry);
-            if (node.raft->entryCount() > snapshotEvery
+            if (isCompactionDue(*node.raft, snapshotEvery, node.bytesSinceSnapshot)
                 && node.applied > node.raft->snapshotIndex()) {
+                node.bytesSinceSnapshot = 0;
                 const Snapshot snapshot = node.raft->compact(node.applied, node.state.save());
                 (void)node.store->storeSnapshot(snapshot, node.raft->entries());
             }
@@ -287,6 +291,7 @@
         if (entry.index <= node.applied)
             return;
         node.applied = entry.index;
+        node.bytesSinceSnapshot += entry.data.size();
         const auto [known, added] = appliedEntries.emplace(entry.index, entry);
         diverged = diverged || !(known->second == entry);
         if (entry.kind != EntryKind::Command)
--- a/control/testing/raft_test.cc
+++ b/control/testing/raft_test.cc
@@ -494,6 +494,40 @@
     }
 }
 
+// Guards against a joining replica that never caught up: each snapshot was older than the log's
+// begin when it arrived, and the next one was sent 2 s later, right before the next compaction
+// (disk.full_while_joining).
+TEST_CASE("a replica catches up whenever the log is compacted beside it", "[raft]")
+{
+    constexpr auto kBetweenChanges = milliseconds(53);
+    constexpr auto kCatchUpWithin = seconds(4);
+    constexpr int kSeeds = 400;
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CAPTURE(seed);
+        Cluster cluster(5, seed);
+        REQUIRE(cluster.formGroup());
+        cluster.snapshotEvery = 20;
+        int changes = 0;
+        const auto change = [&] {
+            const auto leaderIndex = cluster.leader();
+            if (leaderIndex)
+                (void)cluster.propose(*leaderIndex,
+                                      InstallRoutesCommand { uint64_t(++changes), "x" });
+            cluster.run(kBetweenChanges);
+        };
+        while (changes < 50 + int(seed % 40))
+            change();
+        const size_t lost = (*cluster.leader() + 1) % 5;
+        cluster.kill(lost);
+        cluster.nodes[lost]->disk = FakeDisk {};
+        cluster.start(lost);
+        const Instant began = cluster.now;
+        while (!repaired(cluster, lost) && cluster.now - began < 3 * kCatchUpWithin)
+            change();
+        CHECK(cluster.now - began < kCatchUpWithin);
+    }
+}
+
 // Proposes changes while random faults of all kinds happen. Acknowledged changes must persist in
 // order on every replica, at most one replica may hold the leader lease at any time, and all
 // replicas must have the same state at the end.
--- a/node/controltask.cc
+++ b/node/controltask.cc
@@ -28,11 +28,6 @@
 // Time of the link that unacknowledged entries to all followers may take, so that heartbeats are
 // not held up for longer.
 constexpr double kInFlightSeconds = 0.05;
-// A log is replaced by a snapshot when its entries take so many times the bytes of the last one:
-// a replica that joins is sent little that is out of date, and snapshots stay rare. Below the
-// least, the log is no burden.
-constexpr size_t kLogToSnapshot = 4;
-constexpr size_t kLeastLogBytes = 256 << 10;
 constexpr Duration kInForceWait = std::chrono::milliseconds(400);
 constexpr Duration kInForcePoll = std::chrono::milliseconds(2);
 
@@ -625,10 +620,8 @@
 
 void ControlTask::compact()
 {
-    const size_t mostBytes = std::max(kLeastLogBytes, kLogToSnapshot * raft_->snapshotBytes());
-    const bool isLong
-            = raft_->entryCount() >= settings_.snapshotEvery || bytesSinceSnapshot_ > mostBytes;
-    if (!isLong || applied_ <= raft_->snapshotIndex())
+    if (!isCompactionDue(*raft_, settings_.snapshotEvery, bytesSinceSnapshot_)
+        || applied_ <= raft_->snapshotIndex())
         return;
     bytesSinceSnapshot_ = 0;
     const Snapshot snapshot = raft_->compact(applied_, state_.save());
--- a/node/controltask.h
+++ b/node/controltask.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "control/compaction.h"
 #include "control/formation.h"
 #include "control/logstore.h"
 #include "control/membership.h"
