--- a/testing/fakeendpoint.cc
+++ b/testing/fakeendpoint.cc
@@ -75,7 +75,8 @@
         if (!server)
             return tl::unexpected(server.error());
         server_ = std::move(*server);
-        loop_.every(std::chrono::milliseconds(options_.announceMillis), "announce", [this] { announce(); });
+        loop_.every(std::chrono::milliseconds(options_.announceMillis), "announce",
+                    [this] { announce(); });
         announce();
         return {};
     }
