Comments of parseJson(): what is recursive, and how much memory

Read again as a newcomer would: the library destroys values without recursion, and the measured growth is 60 bytes for a byte, not some hundred.

--- a/base/jsontext.h
+++ b/base/jsontext.h
@@ -20,8 +20,8 @@
 
 bool isUtf8(std::string_view text);
 
-// Limits of a document that are checked before any of its values is built: a byte of text can take
-// up to some hundred bytes of memory, and values are destroyed and serialized recursively.
+// Limits of a document that are checked before any of its values is built: a byte of text can
+// become 60 bytes of values, and values are serialized recursively.
 struct JsonLimits
 {
     size_t bytes = SIZE_MAX;
--- a/base/testing/jsontext_test.cc
+++ b/base/testing/jsontext_test.cc
@@ -73,7 +73,7 @@
     CHECK(peakHeapBytes([&] { (void)parseJson(keys, kLargeJson); }) < kMostMemory);
 }
 
-// Serializing a value calls itself for each level: a million of them ended the process.
+// Serializing a value calls itself for each level: 100,000 of them ended the process.
 TEST_CASE("a document that is nested too deep is refused", "[json]")
 {
     const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
